--- /dev/null
+++ b/src/adapters/change_text.cpp
@@ -0,0 +1,130 @@
+// What a change of the configuration changes, in words.
+#include <algorithm>
+
+#include "adapters/template_files.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+using lines = std::vector<std::string>;
+
+// Notes a field that differs.
+template <typename Value>
+void note(lines& out, const std::string& subject, std::string_view field, const Value& before,
+          const Value& after)
+{
+    if (before != after)
+    {
+        out.push_back(subject + ": " + std::string(field) + " from " + before + " to " + after);
+    }
+}
+
+template <typename Names, typename Value>
+std::string name_in(const Names& names, Value value)
+{
+    return std::string(names[static_cast<std::size_t>(value)]);
+}
+
+std::string join_addresses(const service_config& service)
+{
+    std::string text;
+    for (const ip_address& address : service.addresses)
+    {
+        text += text.empty() ? to_string(address) : ", " + to_string(address);
+    }
+    return text;
+}
+
+template <typename Item>
+const Item* find_named(const std::vector<Item>& items, const std::string& name)
+{
+    const auto same = [&name](const Item& item)
+    {
+        return item.name == name;
+    };
+    const auto found = std::find_if(items.begin(), items.end(), same);
+    return found == items.end() ? nullptr : &*found;
+}
+
+void compare_backends(lines& out, const backend_config& before, const backend_config& after)
+{
+    const std::string subject = "backend server " + after.name;
+    note(out, subject, "zone", before.zone, after.zone);
+    note(out, subject, "packets", to_string(before.packets), to_string(after.packets));
+    note(out, subject, "weight", std::to_string(before.weight), std::to_string(after.weight));
+    note(out, subject, "slots", std::to_string(before.slots), std::to_string(after.slots));
+    note(out, subject, "max_connections", std::to_string(before.max_connections),
+         std::to_string(after.max_connections));
+    note(out, subject, "state", name_in(backend_state_names, before.state),
+         name_in(backend_state_names, after.state));
+}
+
+void compare_services(lines& out, const service_config& before, const service_config& after)
+{
+    const std::string subject = "service " + after.name;
+    const auto protocol = [](const service_config& service)
+    {
+        return std::string(service.protocol == transport::tcp ? "tcp" : "udp");
+    };
+    const auto once = [](const service_config& service)
+    {
+        return std::string(service.at_most_once ? "true" : "false");
+    };
+    note(out, subject, "template", before.template_name, after.template_name);
+    note(out, subject, "addresses", join_addresses(before), join_addresses(after));
+    note(out, subject, "port", std::to_string(before.port), std::to_string(after.port));
+    note(out, subject, "protocol", protocol(before), protocol(after));
+    note(out, subject, "urgency", name_in(priority_names, before.urgency),
+         name_in(priority_names, after.urgency));
+    note(out, subject, "at_most_once", once(before), once(after));
+    note(out, subject, "idle_timeout_ms", std::to_string(before.idle_timeout.count),
+         std::to_string(after.idle_timeout.count));
+    for (const backend_config& backend : after.backends)
+    {
+        const backend_config* old = find_named(before.backends, backend.name);
+        if (old == nullptr)
+        {
+            out.push_back(subject + ": backend server " + backend.name + " is added");
+            continue;
+        }
+        compare_backends(out, *old, backend);
+    }
+    for (const backend_config& backend : before.backends)
+    {
+        if (find_named(after.backends, backend.name) == nullptr)
+        {
+            out.push_back(subject + ": backend server " + backend.name + " is removed");
+        }
+    }
+}
+
+} // namespace
+
+std::vector<std::string> describe_changes(const configuration& before, const configuration& after)
+{
+    lines out;
+    for (const service_config& service : after.services)
+    {
+        const service_config* old = find_named(before.services, service.name);
+        if (old == nullptr)
+        {
+            out.push_back("service " + service.name + " of team " + service.team + " is added, " +
+                          std::to_string(service.backends.size()) + " backend servers");
+            continue;
+        }
+        compare_services(out, *old, service);
+    }
+    for (const service_config& service : before.services)
+    {
+        if (find_named(after.services, service.name) == nullptr)
+        {
+            out.push_back("service " + service.name + " is removed");
+        }
+    }
+    return out;
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/adapters/host_daemon.hpp
@@ -0,0 +1,97 @@
+// A host of the system: the core with its adapters on one main loop. Each adapter owns its sockets
+// and tells the daemon what happened; the daemon alone owns the core's state.
+#ifndef BRIARBARROW_ADAPTERS_HOST_DAEMON_HPP
+#define BRIARBARROW_ADAPTERS_HOST_DAEMON_HPP
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "adapters/histogram.hpp"
+#include "adapters/operator_endpoint.hpp"
+#include "adapters/packet_port.hpp"
+#include "adapters/peer_link.hpp"
+#include "adapters/platform_client.hpp"
+#include "adapters/settings.hpp"
+#include "adapters/tun_port.hpp"
+#include "core/core.hpp"
+
+namespace briarbarrow
+{
+
+// One remembered change of state of this host.
+struct story_entry
+{
+    millis when;
+    std::string text;
+};
+
+// Runs until it has stopped by plan.
+class host_daemon
+{
+public:
+    // `stopped` is called once when a planned stop is finished.
+    host_daemon(const daemon_settings& settings, std::function<void()> stopped);
+    ~host_daemon();
+    host_daemon(const host_daemon&) = delete;
+    host_daemon& operator=(const host_daemon&) = delete;
+
+    // Opens all sockets and begins. The error says what can't be opened.
+    result<bool, text_error> start();
+
+    // Begins a planned stop. A second call ends it at once.
+    void stop();
+
+    // Takes over those settings that can change while the host runs. The error says which can't.
+    result<bool, text_error> reload(const daemon_settings& wanted);
+
+private:
+    result<bool, text_error> open_packets();
+    result<bool, text_error> open_peers();
+    result<bool, text_error> open_operators();
+    void open_platform();
+    void handle(const event& happened);
+    void flush();
+    void send_to_callers();
+    void ask_for_configuration();
+    void tick();
+    void take_configuration_text(const std::string& text);
+    void take_peer_message(const peer_message& message,
+                           const std::function<void(const peer_message&)>& answer);
+    bool is_member_address(const ip_address& address) const;
+    void remember(const std::string& text);
+    void list_host();
+    void update_watching();
+    void seed_peers();
+    std::string metrics_page();
+    std::string story_page() const;
+    static gboolean on_tick(gpointer self);
+
+    daemon_settings settings;
+    std::function<void()> stopped;
+    core_state core;
+    actions pending;
+    std::string configuration_text;
+    std::unique_ptr<packet_port> packets;
+    std::unique_ptr<tun_port> tun;
+    std::unique_ptr<peer_link> peers;
+    std::unique_ptr<operator_endpoint> operators;
+    std::unique_ptr<platform_client> platform;
+    std::deque<story_entry> story;
+    histogram tick_lateness;
+    histogram step_time;
+    millis last_tick;
+    millis next_seed;
+    millis next_configuration_ask;
+    millis stop_since;
+    host_state listed_state = host_state::unheard;
+    std::uint64_t listed_incarnation = 0;
+    guint ticker = 0;
+    bool stopping = false;
+    bool finished = false;
+};
+
+} // namespace briarbarrow
+
+#endif
--- /dev/null
+++ b/src/adapters/json_codec.hpp
@@ -0,0 +1,57 @@
+// The forms in which the platform holds the configuration and the hosts, and in which operators
+// read a host's status: JSON.
+#ifndef BRIARBARROW_ADAPTERS_JSON_CODEC_HPP
+#define BRIARBARROW_ADAPTERS_JSON_CODEC_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/configuration.hpp"
+#include "core/core.hpp"
+#include "core/host.hpp"
+#include "core/messages.hpp"
+#include "core/result.hpp"
+
+namespace briarbarrow
+{
+
+// Writes a configuration. Equal configurations give equal texts.
+std::string configuration_to_json(const configuration& value);
+
+// Reads a configuration and checks it. The error names every fault.
+result<configuration, text_error> configuration_from_json(std::string_view text);
+
+// Digest of a configuration's text, to notice two contents under one revision.
+std::uint32_t digest_text(std::string_view text);
+
+// Writes a host as it is listed in the platform.
+std::string host_to_json(const told_host& host);
+
+// Reads a host from the platform's list.
+result<told_host, text_error> host_from_json(std::string_view text);
+
+// An entry of the audit trail: one change of the configuration.
+struct audit_entry
+{
+    std::uint64_t revision = 0;
+    std::string change_id;
+    std::string who;
+    std::string when;
+    std::string why;
+    // One line for each field that the change touched.
+    std::vector<std::string> changes;
+};
+
+// Writes an audit entry.
+std::string audit_to_json(const audit_entry& entry);
+
+// Reads an audit entry.
+result<audit_entry, text_error> audit_from_json(std::string_view text);
+
+// Writes what an operator wants to know of a host.
+std::string status_to_json(const core_state& state, millis now);
+
+} // namespace briarbarrow
+
+#endif
--- /dev/null
+++ b/src/adapters/log.cpp
@@ -0,0 +1,57 @@
+#include "adapters/log.hpp"
+
+#include <easylogging++.cc>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+// A line break inside a text would forge a second line.
+std::string on_one_line(std::string_view text)
+{
+    std::string line(text);
+    for (char& letter : line)
+    {
+        const bool control = static_cast<unsigned char>(letter) < ' ';
+        letter = control ? ' ' : letter;
+        letter = letter == '"' ? '\'' : letter;
+    }
+    return line;
+}
+
+} // namespace
+
+void start_log(std::string_view program, std::string_view subject)
+{
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    const std::string format =
+        "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level program=" + on_one_line(program) +
+        " subject=" + on_one_line(subject) + " event=\"%msg\"";
+    settings.setGlobally(el::ConfigurationType::Format, format);
+    el::Loggers::reconfigureAllLoggers(settings);
+    el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+}
+
+void log_info(std::string_view text)
+{
+    LOG(INFO) << on_one_line(text);
+}
+
+void log_warning(std::string_view text)
+{
+    LOG(WARNING) << on_one_line(text);
+}
+
+void log_error(std::string_view text)
+{
+    LOG(ERROR) << on_one_line(text);
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/adapters/metrics_page.hpp
@@ -0,0 +1,39 @@
+// The metrics of a host in the text exposition format that the usual collectors read
+// (version 0.0.4).
+#ifndef BRIARBARROW_ADAPTERS_METRICS_PAGE_HPP
+#define BRIARBARROW_ADAPTERS_METRICS_PAGE_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "adapters/histogram.hpp"
+#include "core/core.hpp"
+
+namespace briarbarrow
+{
+
+// A value that an adapter counts.
+struct adapter_metric
+{
+    std::string_view name;
+    std::uint64_t value = 0;
+};
+
+// A distribution that an adapter measures.
+struct adapter_summary
+{
+    std::string_view name;
+    std::string_view help;
+    const histogram* values = nullptr;
+};
+
+// Writes all metrics of a host.
+std::string make_metrics_page(const core_state& state, millis now,
+                              const std::vector<adapter_metric>& counters,
+                              const std::vector<adapter_summary>& summaries);
+
+} // namespace briarbarrow
+
+#endif
--- /dev/null
+++ b/src/adapters/packet_port.cpp
@@ -0,0 +1,143 @@
+#include "adapters/packet_port.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <glib-unix.h>
+#include <unistd.h>
+
+#include "adapters/socket_address.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+constexpr std::size_t batch_datagrams = 64;
+constexpr std::size_t datagram_bytes = max_packet_bytes + 256;
+// Other sources of the main loop get their turn after so many batches.
+constexpr int batches_per_turn = 8;
+
+} // namespace
+
+// Memory of the batches, allocated once.
+struct packet_port::buffers
+{
+    std::array<std::array<std::uint8_t, datagram_bytes>, batch_datagrams> bytes;
+    std::array<iovec, batch_datagrams> receive_parts;
+    std::array<sockaddr_storage, batch_datagrams> receive_from;
+    std::array<mmsghdr, batch_datagrams> receive_headers;
+    std::array<std::array<iovec, 2>, batch_datagrams> send_parts;
+    std::array<sockaddr_storage, batch_datagrams> send_to;
+    std::array<mmsghdr, batch_datagrams> send_headers;
+};
+
+packet_port::packet_port(int descriptor, datagram_receiver receiver, batch_end finished)
+    : descriptor(descriptor), receiver(std::move(receiver)), finished(std::move(finished)),
+      memory(std::make_unique<buffers>())
+{
+    this->source = g_unix_fd_add(this->descriptor, G_IO_IN, on_readable, this);
+}
+
+packet_port::~packet_port()
+{
+    g_source_remove(this->source);
+    close(this->descriptor);
+}
+
+result<std::unique_ptr<packet_port>, text_error>
+packet_port::open(const endpoint& local, datagram_receiver receiver, batch_end finished)
+{
+    const int descriptor = open_udp_socket(local);
+    if (descriptor < 0)
+    {
+        return text_error{"can't listen for packets on " + to_string(local) + ": " +
+                          std::strerror(errno)};
+    }
+    return std::unique_ptr<packet_port>(
+        new packet_port(descriptor, std::move(receiver), std::move(finished)));
+}
+
+const packet_port_counts& packet_port::counts() const
+{
+    return this->counted;
+}
+
+gboolean packet_port::on_readable(gint /*descriptor*/, GIOCondition /*condition*/, gpointer self)
+{
+    auto* port = static_cast<packet_port*>(self);
+    for (int i = 0; i < batches_per_turn; ++i)
+    {
+        if (!port->receive_batch())
+        {
+            break;
+        }
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+bool packet_port::receive_batch()
+{
+    buffers& memory = *this->memory;
+    for (std::size_t i = 0; i < batch_datagrams; ++i)
+    {
+        memory.receive_parts[i] = iovec{memory.bytes[i].data(), datagram_bytes};
+        msghdr& header = memory.receive_headers[i].msg_hdr;
+        header = {};
+        header.msg_iov = &memory.receive_parts[i];
+        header.msg_iovlen = 1;
+        header.msg_name = &memory.receive_from[i];
+        header.msg_namelen = sizeof(sockaddr_storage);
+    }
+    const int count = recvmmsg(this->descriptor, memory.receive_headers.data(), batch_datagrams,
+                               MSG_DONTWAIT, nullptr);
+    if (count <= 0)
+    {
+        return false;
+    }
+    ++this->counted.batches;
+    this->counted.received += static_cast<std::uint64_t>(count);
+    for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i)
+    {
+        const std::size_t length = memory.receive_headers[i].msg_len;
+        this->receiver(from_socket_address(memory.receive_from[i]),
+                       std::span<const std::uint8_t>(memory.bytes[i].data(), length));
+    }
+    this->finished();
+    return static_cast<std::size_t>(count) == batch_datagrams;
+}
+
+void packet_port::send(std::span<const outgoing> datagrams)
+{
+    buffers& memory = *this->memory;
+    while (!datagrams.empty())
+    {
+        const std::size_t count = std::min(datagrams.size(), batch_datagrams);
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            const outgoing& datagram = datagrams[i];
+            auto* head = const_cast<std::uint8_t*>(datagram.head.data());
+            auto* body = const_cast<std::uint8_t*>(datagram.body.data());
+            memory.send_parts[i][0] = iovec{head, datagram.head.size()};
+            memory.send_parts[i][1] = iovec{body, datagram.body.size()};
+            msghdr& header = memory.send_headers[i].msg_hdr;
+            header = {};
+            header.msg_name = &memory.send_to[i];
+            header.msg_namelen = to_socket_address(datagram.to, memory.send_to[i]);
+            header.msg_iov = memory.send_parts[i].data();
+            header.msg_iovlen = 2;
+        }
+        const int sent = sendmmsg(this->descriptor, memory.send_headers.data(),
+                                  static_cast<unsigned>(count), MSG_DONTWAIT);
+        // A datagram that the kernel refuses is skipped; those behind it get their chance.
+        const std::size_t done = sent > 0 ? static_cast<std::size_t>(sent) : 1;
+        this->counted.sent += sent > 0 ? static_cast<std::uint64_t>(sent) : 0;
+        this->counted.send_failures += sent > 0 ? 0 : 1;
+        datagrams = datagrams.subspan(done);
+    }
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/adapters/peer_link.hpp
@@ -0,0 +1,86 @@
+// The TCP link between hosts, for what does not fit into a datagram: lists of hosts and the
+// configuration. Connections are made when there is something to say and carry both directions.
+// Every connection begins with a hello.
+#ifndef BRIARBARROW_ADAPTERS_PEER_LINK_HPP
+#define BRIARBARROW_ADAPTERS_PEER_LINK_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include <gio/gio.h>
+
+#include "adapters/peer_frame.hpp"
+#include "core/address.hpp"
+#include "core/result.hpp"
+
+namespace briarbarrow
+{
+
+class peer_connection;
+
+// What the link tells its owner.
+struct peer_listener
+{
+    // A whole message from a member, with a way to answer on the same connection.
+    std::function<void(const peer_message&, const std::function<void(const peer_message&)>& answer)>
+        on_message;
+    // True when an address belongs to a member; others are turned away.
+    std::function<bool(const ip_address&)> is_member;
+    // The hello to begin with.
+    std::function<hello()> make_hello;
+    // Connections that were refused or broken off, by reason, for the log.
+    std::function<void(const std::string& text)> on_fault;
+};
+
+// Counts since the start.
+struct peer_link_counts
+{
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t messages_sent = 0;
+    std::uint64_t messages_received = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t faults = 0;
+};
+
+// Listens, connects and frames.
+class peer_link
+{
+public:
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+
+    // Begins to listen. The error says why it can't.
+    static result<std::unique_ptr<peer_link>, text_error> open(const endpoint& local,
+                                                               peer_listener listener);
+
+    // Sends a message to a peer endpoint, connecting first where needed. A message that can't be
+    // delivered is dropped; what matters is sent again by those who need it.
+    void send(const endpoint& to, const peer_message& message);
+
+    // Counts since the start.
+    const peer_link_counts& counts() const;
+
+private:
+    friend class peer_connection;
+
+    peer_link(const endpoint& local, peer_listener listener);
+    static gboolean on_incoming(GSocketService* service, GSocketConnection* connection,
+                                GObject* source, gpointer self);
+    void forget(const std::shared_ptr<peer_connection>& connection);
+
+    endpoint local;
+    peer_listener listener;
+    GSocketService* service = nullptr;
+    GSocketClient* client = nullptr;
+    std::map<endpoint, std::shared_ptr<peer_connection>> outgoing_connections;
+    std::set<std::shared_ptr<peer_connection>> connections;
+    peer_link_counts counted;
+};
+
+} // namespace briarbarrow
+
+#endif
--- /dev/null
+++ b/src/adapters/platform_client.cpp
@@ -0,0 +1,351 @@
+#include "adapters/platform_client.hpp"
+
+#include <algorithm>
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+constexpr unsigned call_timeout_seconds = 5;
+// A watch may be silent for long; the platform itself ends it when it goes down.
+constexpr unsigned watch_timeout_seconds = 0;
+constexpr millis first_pause{250};
+constexpr millis longest_pause{10'000};
+constexpr int most_doublings = 6;
+
+// An action to run later, unless its owner is gone by then.
+struct delayed_action
+{
+    std::weak_ptr<bool> alive;
+    std::function<void()> action;
+};
+
+gboolean run_delayed(gpointer data)
+{
+    const auto* delayed = static_cast<delayed_action*>(data);
+    if (!delayed->alive.expired())
+    {
+        delayed->action();
+    }
+    return G_SOURCE_REMOVE;
+}
+
+void delete_delayed(gpointer data)
+{
+    delete static_cast<delayed_action*>(data);
+}
+
+} // namespace
+
+// One watch. `owner` is null once the client has given it up; the object itself lives as long as
+// the library may call back.
+struct platform_client::watch_stream
+{
+    platform_client* owner = nullptr;
+    SoupMessage* message = nullptr;
+    GCancellable* cancel = nullptr;
+    GDataInputStream* lines = nullptr;
+
+    ~watch_stream()
+    {
+        g_clear_object(&this->lines);
+        g_clear_object(&this->message);
+        g_clear_object(&this->cancel);
+    }
+};
+
+platform_client::platform_client(const endpoint& platform, std::string prefix,
+                                 std::string host_name, platform_listener listener)
+    : platform(platform), prefix(std::move(prefix)), host_name(std::move(host_name)),
+      listener(std::move(listener)), session(new_http_session(call_timeout_seconds)),
+      watch_session(new_http_session(watch_timeout_seconds)), alive(std::make_shared<bool>(true)),
+      jitter(std::hash<std::string>{}(this->host_name))
+{
+    this->read_all();
+}
+
+platform_client::~platform_client()
+{
+    this->close_watch();
+    soup_session_abort(this->session);
+    soup_session_abort(this->watch_session);
+    g_object_unref(this->session);
+    g_object_unref(this->watch_session);
+}
+
+const platform_calls& platform_client::calls() const
+{
+    return this->counted;
+}
+
+void platform_client::later(millis pause, std::function<void()> action)
+{
+    auto* delayed = new delayed_action{this->alive, std::move(action)};
+    g_timeout_add_full(G_PRIORITY_DEFAULT, static_cast<guint>(pause.count), run_delayed, delayed,
+                       delete_delayed);
+}
+
+millis platform_client::backoff_pause()
+{
+    const int doublings = std::min(this->failures_in_a_row, most_doublings);
+    const millis full = std::min(first_pause * (std::int64_t{1} << doublings), longest_pause);
+    std::uniform_int_distribution<std::int64_t> spread(full.count / 2, full.count);
+    return millis{spread(this->jitter)};
+}
+
+void platform_client::note_result(bool good)
+{
+    this->failures_in_a_row = good ? 0 : this->failures_in_a_row + 1;
+    this->counted.failures += good ? 0 : 1;
+    if (good != this->reachable)
+    {
+        this->reachable = good;
+        this->listener.on_reachable(good);
+    }
+}
+
+void platform_client::call(const std::string& path, const std::string& body, call_answer answer)
+{
+    const std::weak_ptr<bool> still = this->alive;
+    post_json(this->session, this->platform, path, body,
+              [this, still, answer = std::move(answer)](call_result outcome)
+              {
+                  if (still.expired())
+                  {
+                      return;
+                  }
+                  this->note_result(outcome.has_value());
+                  answer(std::move(outcome));
+              });
+}
+
+void platform_client::read_all()
+{
+    ++this->counted.reads;
+    this->call("/v3/kv/range", encode_range(this->prefix, prefix_end(this->prefix)),
+               [this](const call_result& answer) { this->take_range(answer); });
+}
+
+void platform_client::take_range(const call_result& answer)
+{
+    if (!answer)
+    {
+        this->later(this->backoff_pause(), [this] { this->read_all(); });
+        return;
+    }
+    const auto range = decode_range(answer.value());
+    if (!range)
+    {
+        return;
+    }
+    for (const key_value& entry : range.value().entries)
+    {
+        this->take_entry(entry);
+    }
+}
+
+void platform_client::take_entry(const key_value& entry)
+{
+    const std::string hosts = this->prefix + std::string(hosts_prefix);
+    if (entry.key == this->prefix + std::string(configuration_key))
+    {
+        this->listener.on_configuration(entry.value);
+    }
+    else if (entry.key.starts_with(hosts))
+    {
+        this->listener.on_host(entry.value);
+    }
+}
+
+void platform_client::list_host(const std::string& value)
+{
+    this->host_value = value;
+    if (this->lease != 0)
+    {
+        this->put_host();
+        return;
+    }
+    if (!this->granting)
+    {
+        this->grant_lease();
+    }
+}
+
+void platform_client::grant_lease()
+{
+    this->granting = true;
+    ++this->counted.writes;
+    this->call("/v3/lease/grant", encode_lease_grant(host_lease_seconds),
+               [this](const call_result& answer)
+               {
+                   const auto id = answer ? decode_lease_grant(answer.value())
+                                          : result<std::int64_t, text_error>(text_error{});
+                   if (!id || id.value() == 0)
+                   {
+                       this->later(this->backoff_pause(), [this] { this->grant_lease(); });
+                       return;
+                   }
+                   this->granting = false;
+                   this->lease = id.value();
+                   this->put_host();
+                   this->later(keep_alive_interval, [this] { this->keep_alive(); });
+               });
+}
+
+void platform_client::put_host()
+{
+    ++this->counted.writes;
+    const put_operation put{this->prefix + std::string(hosts_prefix) + this->host_name,
+                            this->host_value};
+    this->call("/v3/kv/put", encode_put(put, this->lease),
+               [this](const call_result& answer)
+               {
+                   if (!answer)
+                   {
+                       // The same value under the same lease: writing it twice does no harm.
+                       this->later(this->backoff_pause(), [this] { this->put_host(); });
+                   }
+               });
+}
+
+void platform_client::keep_alive()
+{
+    ++this->counted.writes;
+    this->call("/v3/lease/keepalive", encode_lease_id(this->lease),
+               [this](const call_result& answer)
+               {
+                   const auto left = answer ? decode_keep_alive(answer.value())
+                                            : result<std::int64_t, text_error>(text_error{});
+                   if (left && left.value() == 0)
+                   {
+                       // The lease lapsed while nobody answered: list the host anew.
+                       this->lease = 0;
+                       this->grant_lease();
+                       return;
+                   }
+                   const millis pause = left ? keep_alive_interval : this->backoff_pause();
+                   this->later(pause, [this] { this->keep_alive(); });
+               });
+}
+
+void platform_client::unlist_host()
+{
+    if (this->lease == 0)
+    {
+        return;
+    }
+    ++this->counted.writes;
+    this->call("/v3/lease/revoke", encode_lease_id(this->lease), [](const call_result&) {});
+}
+
+void platform_client::set_watching(bool wanted)
+{
+    if (wanted == this->watching)
+    {
+        return;
+    }
+    this->watching = wanted;
+    if (wanted)
+    {
+        this->open_watch();
+    }
+    else
+    {
+        this->close_watch();
+    }
+}
+
+void platform_client::open_watch()
+{
+    if (!this->watching || this->stream)
+    {
+        return;
+    }
+    ++this->counted.watches;
+    this->stream = std::make_shared<watch_stream>();
+    this->stream->owner = this;
+    this->stream->cancel = g_cancellable_new();
+    const std::string body = encode_watch(this->prefix, prefix_end(this->prefix));
+    this->stream->message = new_post(this->platform, "/v3/watch", body);
+    auto* held = new std::shared_ptr<watch_stream>(this->stream);
+    soup_session_send_async(this->watch_session, this->stream->message, G_PRIORITY_DEFAULT,
+                            this->stream->cancel, on_watch_opened, held);
+}
+
+void platform_client::close_watch()
+{
+    if (this->stream)
+    {
+        this->stream->owner = nullptr;
+        g_cancellable_cancel(this->stream->cancel);
+        this->stream.reset();
+    }
+}
+
+void platform_client::watch_failed()
+{
+    this->stream.reset();
+    this->note_result(false);
+    this->later(this->backoff_pause(), [this] { this->open_watch(); });
+}
+
+void platform_client::on_watch_opened(GObject* source, GAsyncResult* finished, gpointer data)
+{
+    const std::unique_ptr<std::shared_ptr<watch_stream>> held(
+        static_cast<std::shared_ptr<watch_stream>*>(data));
+    const std::shared_ptr<watch_stream> stream = *held;
+    GInputStream* input = soup_session_send_finish(SOUP_SESSION(source), finished, nullptr);
+    const bool good = input != nullptr && soup_message_get_status(stream->message) == 200;
+    if (stream->owner == nullptr || !good)
+    {
+        g_clear_object(&input);
+        if (stream->owner != nullptr)
+        {
+            stream->owner->watch_failed();
+        }
+        return;
+    }
+    stream->owner->note_result(true);
+    stream->lines = g_data_input_stream_new(input);
+    g_object_unref(input);
+    // What changed before the watch began is read once.
+    stream->owner->read_all();
+    auto* next = new std::shared_ptr<watch_stream>(stream);
+    g_data_input_stream_read_line_async(stream->lines, G_PRIORITY_DEFAULT, stream->cancel,
+                                        on_watch_line, next);
+}
+
+void platform_client::on_watch_line(GObject* source, GAsyncResult* finished, gpointer data)
+{
+    const std::unique_ptr<std::shared_ptr<watch_stream>> held(
+        static_cast<std::shared_ptr<watch_stream>*>(data));
+    const std::shared_ptr<watch_stream> stream = *held;
+    gsize size = 0;
+    char* line =
+        g_data_input_stream_read_line_finish(G_DATA_INPUT_STREAM(source), finished, &size, nullptr);
+    if (stream->owner == nullptr || line == nullptr)
+    {
+        g_free(line);
+        if (stream->owner != nullptr)
+        {
+            stream->owner->watch_failed();
+        }
+        return;
+    }
+    const auto answer = decode_watch(std::string_view(line, size));
+    g_free(line);
+    if (answer)
+    {
+        for (const key_value& entry : answer.value().puts)
+        {
+            stream->owner->take_entry(entry);
+        }
+    }
+    auto* next = new std::shared_ptr<watch_stream>(stream);
+    g_data_input_stream_read_line_async(stream->lines, G_PRIORITY_DEFAULT, stream->cancel,
+                                        on_watch_line, next);
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/adapters/template_files.cpp
@@ -0,0 +1,394 @@
+#include "adapters/template_files.hpp"
+
+#include <algorithm>
+#include <filesystem>
+
+#include "adapters/toml_reader.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+constexpr std::int64_t largest_integer = 86'400'000;
+constexpr integer_range weight_range{1, 1000};
+
+std::string join_lines(const std::vector<std::string>& lines)
+{
+    std::string text;
+    for (const std::string& line : lines)
+    {
+        text += text.empty() ? line : "\n" + line;
+    }
+    return text;
+}
+
+bool is_number(service_field field)
+{
+    return field == service_field::port || field == service_field::idle_timeout_ms ||
+           field == service_field::slots || field == service_field::max_connections;
+}
+
+// Values that a field can have when it is no number.
+std::vector<std::string_view> legal_values(service_field field)
+{
+    switch (field)
+    {
+    case service_field::protocol:
+        return {"tcp", "udp"};
+    case service_field::urgency:
+        return {priority_names.begin(), priority_names.end()};
+    case service_field::at_most_once:
+        return {"false", "true"};
+    default:
+        return {};
+    }
+}
+
+// Reads the value of a field as text, whatever its type in the file.
+std::string read_value(toml_reader& reader, service_field field, integer_range range,
+                       const std::optional<std::string>& otherwise)
+{
+    const std::string_view key = service_field_names[static_cast<std::size_t>(field)];
+    if (otherwise && !reader.has(key))
+    {
+        reader.boolean(key, false);
+        return *otherwise;
+    }
+    if (is_number(field))
+    {
+        return std::to_string(reader.integer(key, range));
+    }
+    if (field == service_field::at_most_once)
+    {
+        return reader.boolean(key, false) ? "true" : "false";
+    }
+    const auto legal = legal_values(field);
+    return std::string(legal[reader.one_of(key, legal)]);
+}
+
+std::optional<service_field> field_named(std::string_view name)
+{
+    const auto* found = std::find(service_field_names.begin(), service_field_names.end(), name);
+    if (found == service_field_names.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<service_field>(found - service_field_names.begin());
+}
+
+template_parameter read_parameter(const toml::table& table, service_field field,
+                                  toml_faults& faults)
+{
+    const std::string_view name = service_field_names[static_cast<std::size_t>(field)];
+    toml_reader reader(table, "[parameters." + std::string(name) + "]", faults);
+    template_parameter parameter;
+    parameter.documentation = reader.text("documentation");
+    if (is_number(field))
+    {
+        parameter.least = reader.integer("least", {1, largest_integer});
+        parameter.most = reader.integer("most", {parameter.least, largest_integer});
+        if (reader.has("default"))
+        {
+            const auto value = reader.integer("default", {parameter.least, parameter.most});
+            parameter.otherwise = std::to_string(value);
+        }
+    }
+    else if (reader.has("default"))
+    {
+        const bool flag = field == service_field::at_most_once;
+        const auto legal = legal_values(field);
+        parameter.otherwise = flag ? (reader.boolean("default", false) ? "true" : "false")
+                                   : std::string(legal[reader.one_of("default", legal)]);
+    }
+    reader.finish();
+    return parameter;
+}
+
+void read_fixed(service_template& made, const toml::table& table, toml_faults& faults)
+{
+    toml_reader reader(table, "[fixed]", faults);
+    for (const std::string_view name : service_field_names)
+    {
+        const auto field = field_named(name);
+        if (reader.has(name))
+        {
+            made.fixed[*field] = read_value(reader, *field, {1, largest_integer}, std::nullopt);
+        }
+    }
+    reader.finish();
+}
+
+void read_parameters(service_template& made, const toml::table& table, toml_faults& faults)
+{
+    toml_reader reader(table, "[parameters]", faults);
+    for (const std::string_view name : service_field_names)
+    {
+        const auto field = field_named(name);
+        if (!reader.has(name))
+        {
+            continue;
+        }
+        const toml::table* parameter = reader.table(name, true);
+        if (parameter != nullptr)
+        {
+            made.parameters[*field] = read_parameter(*parameter, *field, faults);
+        }
+    }
+    reader.finish();
+}
+
+void check_template(const service_template& made, const toml::table& table, toml_faults& faults)
+{
+    for (const std::string_view name : service_field_names)
+    {
+        const auto field = field_named(name);
+        const bool fixed = made.fixed.contains(*field);
+        const bool parameter = made.parameters.contains(*field);
+        if (fixed == parameter)
+        {
+            add_fault(faults, table,
+                      std::string(name) + (fixed ? " is both fixed and a parameter"
+                                                 : " is neither fixed nor a "
+                                                   "parameter"));
+        }
+    }
+}
+
+void set_field(service_config& service, service_field field, const std::string& value)
+{
+    switch (field)
+    {
+    case service_field::port:
+        service.port = static_cast<std::uint16_t>(std::stol(value));
+        break;
+    case service_field::protocol:
+        service.protocol = value == "tcp" ? transport::tcp : transport::udp;
+        break;
+    case service_field::urgency:
+        service.urgency = value == "urgent" ? priority::urgent : priority::ordinary;
+        break;
+    case service_field::at_most_once:
+        service.at_most_once = value == "true";
+        break;
+    case service_field::idle_timeout_ms:
+        service.idle_timeout = millis{std::stoll(value)};
+        break;
+    case service_field::slots:
+    case service_field::max_connections:
+        // Fields of backend servers.
+        break;
+    }
+}
+
+std::uint32_t backend_number(const std::map<service_field, std::string>& values,
+                             service_field field)
+{
+    return static_cast<std::uint32_t>(std::stoul(values.at(field)));
+}
+
+backend_config read_backend(const toml::table& table,
+                            const std::map<service_field, std::string>& values, toml_faults& faults)
+{
+    toml_reader reader(table, "[[service.backend]]", faults);
+    backend_config backend;
+    backend.name = reader.text("name");
+    backend.zone = reader.text("zone");
+    backend.packets = reader.address_and_port("packets");
+    backend.weight = static_cast<std::uint32_t>(reader.integer("weight", weight_range, 1));
+    backend.state = static_cast<backend_state>(reader.one_of(
+        "state", {backend_state_names.begin(), backend_state_names.end()}, std::size_t{0}));
+    backend.slots = backend_number(values, service_field::slots);
+    backend.max_connections = backend_number(values, service_field::max_connections);
+    reader.finish();
+    return backend;
+}
+
+std::map<service_field, std::string> read_values(const service_template& made,
+                                                 const toml::table& table, toml_faults& faults)
+{
+    toml_reader reader(table, "[service.parameters]", faults);
+    std::map<service_field, std::string> values = made.fixed;
+    for (const auto& [field, parameter] : made.parameters)
+    {
+        values[field] =
+            read_value(reader, field, {parameter.least, parameter.most}, parameter.otherwise);
+    }
+    reader.finish();
+    return values;
+}
+
+service_config read_service(const toml::table& table, const std::string& team,
+                            const std::map<std::string, service_template>& templates,
+                            toml_faults& faults)
+{
+    toml_reader reader(table, "[[service]]", faults);
+    service_config service;
+    service.team = team;
+    service.name = reader.text("name");
+    service.template_name = reader.text("template");
+    service.addresses = reader.addresses("addresses");
+    const toml::table empty;
+    const toml::table* given = reader.table("parameters", false);
+    const auto found = templates.find(service.template_name);
+    const auto backends = reader.tables("backend");
+    reader.finish();
+    if (found == templates.end())
+    {
+        std::string known;
+        for (const auto& [name, made] : templates)
+        {
+            known += known.empty() ? name : ", " + name;
+        }
+        add_fault(faults, reader.place_of("template"),
+                  "there is no template \"" + service.template_name + "\"; known are " + known);
+        return service;
+    }
+    const auto values = read_values(found->second, given == nullptr ? empty : *given, faults);
+    for (const auto& [field, value] : values)
+    {
+        set_field(service, field, value);
+    }
+    for (const toml::table* backend : backends)
+    {
+        service.backends.push_back(read_backend(*backend, values, faults));
+    }
+    return service;
+}
+
+} // namespace
+
+result<service_template, text_error> read_template(const std::string& path)
+{
+    toml_faults faults;
+    const auto table = read_toml_file(faults, path);
+    if (!table)
+    {
+        return text_error{join_lines(faults.lines)};
+    }
+    service_template made;
+    toml_reader reader(*table, "the template", faults);
+    made.name = reader.text("name");
+    made.description = reader.text("description");
+    if (const toml::table* fixed = reader.table("fixed", false))
+    {
+        read_fixed(made, *fixed, faults);
+    }
+    if (const toml::table* parameters = reader.table("parameters", false))
+    {
+        read_parameters(made, *parameters, faults);
+    }
+    reader.finish();
+    check_template(made, *table, faults);
+    if (!faults.lines.empty())
+    {
+        return text_error{join_lines(faults.lines)};
+    }
+    return made;
+}
+
+result<std::map<std::string, service_template>, text_error>
+read_templates(const std::string& folder)
+{
+    std::map<std::string, service_template> templates;
+    std::error_code failed;
+    std::vector<std::string> paths;
+    for (const auto& entry : std::filesystem::directory_iterator(folder, failed))
+    {
+        if (entry.path().extension() == ".toml")
+        {
+            paths.push_back(entry.path().string());
+        }
+    }
+    if (failed)
+    {
+        return text_error{"can't read the templates in " + folder + ": " + failed.message()};
+    }
+    std::sort(paths.begin(), paths.end());
+    for (const std::string& path : paths)
+    {
+        auto made = read_template(path);
+        if (!made)
+        {
+            return made.error();
+        }
+        const std::string name = made.value().name;
+        if (!templates.emplace(name, std::move(made.value())).second)
+        {
+            return text_error{path + ": there is another template with the name \"" + name + "\""};
+        }
+    }
+    return templates;
+}
+
+result<service_file, text_error>
+read_service_file(const std::string& path, const std::map<std::string, service_template>& templates)
+{
+    toml_faults faults;
+    const auto table = read_toml_file(faults, path);
+    if (!table)
+    {
+        return text_error{join_lines(faults.lines)};
+    }
+    service_file file;
+    toml_reader reader(*table, "the file", faults);
+    file.team = reader.text("team");
+    const auto services = reader.tables("service");
+    reader.finish();
+    if (services.empty())
+    {
+        add_fault(faults, *table, "there is no [[service]]");
+    }
+    for (const toml::table* service : services)
+    {
+        file.services.push_back(read_service(*service, file.team, templates, faults));
+    }
+    configuration alone;
+    alone.services = file.services;
+    if (faults.lines.empty())
+    {
+        for (const std::string& fault : check_configuration(alone))
+        {
+            faults.lines.push_back(path + ": " + fault);
+        }
+    }
+    if (!faults.lines.empty())
+    {
+        return text_error{join_lines(faults.lines)};
+    }
+    return file;
+}
+
+result<configuration, text_error> merge_services(const configuration& base,
+                                                 const service_file& file)
+{
+    configuration merged = base;
+    for (const service_config& service : file.services)
+    {
+        const auto same_name = [&service](const service_config& other)
+        {
+            return other.name == service.name;
+        };
+        const auto found = std::find_if(merged.services.begin(), merged.services.end(), same_name);
+        if (found == merged.services.end())
+        {
+            merged.services.push_back(service);
+            continue;
+        }
+        if (found->team != service.team)
+        {
+            return text_error{"service " + service.name + " belongs to team " + found->team +
+                              ", not to " + service.team};
+        }
+        *found = service;
+    }
+    const auto faults = check_configuration(merged);
+    if (!faults.empty())
+    {
+        return text_error{join_lines(faults)};
+    }
+    return merged;
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/adapters/tun_port.cpp
@@ -0,0 +1,77 @@
+#include "adapters/tun_port.hpp"
+
+#include <cerrno>
+#include <cstring>
+
+#include <fcntl.h>
+#include <glib-unix.h>
+#include <linux/if.h>
+#include <linux/if_tun.h>
+#include <sys/ioctl.h>
+#include <unistd.h>
+
+#include "core/ip_packet.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+constexpr int packets_per_turn = 256;
+
+} // namespace
+
+result<int, text_error> open_tun_device(const std::string& name)
+{
+    const int descriptor = open("/dev/net/tun", O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    if (descriptor < 0)
+    {
+        return text_error{std::string("can't open /dev/net/tun: ") + std::strerror(errno)};
+    }
+    ifreq request{};
+    request.ifr_flags = IFF_TUN | IFF_NO_PI;
+    name.copy(request.ifr_name, IFNAMSIZ - 1);
+    if (ioctl(descriptor, TUNSETIFF, &request) != 0)
+    {
+        const text_error fault{"can't use the TUN device " + name + ": " + std::strerror(errno)};
+        close(descriptor);
+        return fault;
+    }
+    return descriptor;
+}
+
+tun_port::tun_port(int descriptor, bare_packet_receiver receiver)
+    : descriptor(descriptor), receiver(std::move(receiver)), buffer(max_packet_bytes + 1)
+{
+    this->source = g_unix_fd_add(this->descriptor, G_IO_IN, on_readable, this);
+}
+
+tun_port::~tun_port()
+{
+    g_source_remove(this->source);
+    close(this->descriptor);
+}
+
+bool tun_port::send(std::span<const std::uint8_t> packet)
+{
+    const ssize_t written = write(this->descriptor, packet.data(), packet.size());
+    return written == static_cast<ssize_t>(packet.size());
+}
+
+gboolean tun_port::on_readable(gint descriptor, GIOCondition /*condition*/, gpointer self)
+{
+    auto* port = static_cast<tun_port*>(self);
+    for (int i = 0; i < packets_per_turn; ++i)
+    {
+        const ssize_t length = read(descriptor, port->buffer.data(), port->buffer.size());
+        if (length <= 0)
+        {
+            break;
+        }
+        port->receiver({port->buffer.data(), static_cast<std::size_t>(length)});
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/bin/briarbarrowd.cpp
@@ -0,0 +1,123 @@
+// briarbarrowd: the daemon of an entry host.
+#include <iostream>
+
+#include <cxxopts.hpp>
+#include <glib-unix.h>
+
+#include "adapters/host_daemon.hpp"
+#include "adapters/log.hpp"
+
+namespace
+{
+
+using namespace briarbarrow;
+
+constexpr int exit_good = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+// What the signal handlers need.
+struct running_host
+{
+    std::string settings_path;
+    host_daemon* daemon = nullptr;
+};
+
+gboolean on_stop_signal(gpointer data)
+{
+    static_cast<running_host*>(data)->daemon->stop();
+    return G_SOURCE_CONTINUE;
+}
+
+gboolean on_reload_signal(gpointer data)
+{
+    auto* host = static_cast<running_host*>(data);
+    const auto wanted = read_settings(host->settings_path);
+    if (!wanted)
+    {
+        log_warning("settings were not read again: " + wanted.error().message);
+        return G_SOURCE_CONTINUE;
+    }
+    const auto done = host->daemon->reload(wanted.value());
+    if (!done)
+    {
+        log_warning(done.error().message);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+int run(const std::string& settings_path, const daemon_settings& settings)
+{
+    GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+    host_daemon daemon(settings, [loop] { g_main_loop_quit(loop); });
+    const auto started = daemon.start();
+    if (!started)
+    {
+        log_error(started.error().message);
+        return exit_failed;
+    }
+    running_host host{settings_path, &daemon};
+    g_unix_signal_add(SIGTERM, on_stop_signal, &host);
+    g_unix_signal_add(SIGINT, on_stop_signal, &host);
+    g_unix_signal_add(SIGHUP, on_reload_signal, &host);
+    g_main_loop_run(loop);
+    g_main_loop_unref(loop);
+    log_info("stopped");
+    return exit_good;
+}
+
+int parse_and_run(int argc, char** argv)
+{
+    cxxopts::Options options("briarbarrowd", "The daemon of an entry host of briarbarrow.");
+    options.add_options()("settings", "Settings file (TOML)",
+                          cxxopts::value<std::string>())("check", "Check the settings and end")(
+        "version", "Print the version and end")("help", "Print this text and end");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0)
+    {
+        std::cout << options.help()
+                  << "\nSignals: TERM or INT stop by plan (a second one at once), HUP reads the "
+                     "settings again.\nExit status: 0 stopped by plan, 1 could not start, 2 wrong "
+                     "usage or settings.\n";
+        return exit_good;
+    }
+    if (parsed.count("version") > 0)
+    {
+        std::cout << "briarbarrowd " << BRIARBARROW_VERSION << '\n';
+        return exit_good;
+    }
+    if (parsed.count("settings") == 0)
+    {
+        std::cerr << "briarbarrowd: --settings FILE is needed; see --help\n";
+        return exit_usage;
+    }
+    const auto path = parsed["settings"].as<std::string>();
+    const auto settings = read_settings(path);
+    if (!settings)
+    {
+        std::cerr << settings.error().message << '\n';
+        return exit_usage;
+    }
+    if (parsed.count("check") > 0)
+    {
+        std::cout << path << ": good\n";
+        return exit_good;
+    }
+    start_log("briarbarrowd", settings.value().self.name);
+    return run(path, settings.value());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return parse_and_run(argc, argv);
+    }
+    catch (const cxxopts::exceptions::exception& wrong)
+    {
+        std::cerr << "briarbarrowd: " << wrong.what() << "; see --help\n";
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/src/core/configuration.hpp
@@ -0,0 +1,91 @@
+// What the operators have decided, as every host holds it: services, their addresses and their
+// backend servers. A configuration is one value with a revision and a digest; hosts take it whole
+// or not at all.
+#ifndef BRIARBARROW_CORE_CONFIGURATION_HPP
+#define BRIARBARROW_CORE_CONFIGURATION_HPP
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/address.hpp"
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "core/ip_packet.hpp"
+#include "core/result.hpp"
+
+namespace briarbarrow
+{
+
+// Whether a service gives way under overload.
+enum class priority : std::uint8_t
+{
+    urgent,
+    ordinary
+};
+
+constexpr std::array<std::string_view, 2> priority_names{"urgent", "ordinary"};
+
+// Whether a backend server takes new flows.
+enum class backend_state : std::uint8_t
+{
+    active,
+    draining
+};
+
+constexpr std::array<std::string_view, 2> backend_state_names{"active", "draining"};
+
+// One backend server. `packets` is where encapsulated packets are sent to.
+struct backend_config
+{
+    std::string name;
+    std::string zone;
+    endpoint packets;
+    std::uint32_t weight = 1;
+    std::uint32_t slots = 2;
+    std::uint32_t max_connections = 2000;
+    backend_state state = backend_state::active;
+
+    friend bool operator==(const backend_config&, const backend_config&) = default;
+};
+
+// One service of a team: its addresses, and the backend servers behind them.
+struct service_config
+{
+    std::string name;
+    std::string team;
+    std::string template_name;
+    std::vector<ip_address> addresses;
+    std::uint16_t port = 0;
+    transport protocol = transport::tcp;
+    priority urgency = priority::ordinary;
+    // True when a request may run at most once, so that a datagram whose flow may have been
+    // forgotten is dropped instead of placed again.
+    bool at_most_once = false;
+    // A flow that is silent for longer is forgotten.
+    millis idle_timeout{900'000};
+    std::vector<backend_config> backends;
+
+    friend bool operator==(const service_config&, const service_config&) = default;
+};
+
+// All services, at one revision. Revision 0 is "none yet".
+struct configuration
+{
+    std::uint64_t revision = 0;
+    std::string change_id;
+    std::vector<service_config> services;
+
+    friend bool operator==(const configuration&, const configuration&) = default;
+};
+
+// Checks a configuration as a whole: unique names and identifiers, addresses used once, values in
+// their ranges, no service without a backend server that takes flows. Returns every fault found;
+// empty means good.
+std::vector<std::string> check_configuration(const configuration& value);
+
+} // namespace briarbarrow
+
+#endif
--- /dev/null
+++ b/src/core/encapsulation.cpp
@@ -0,0 +1,217 @@
+#include "core/encapsulation.hpp"
+
+#include <boost/endian/conversion.hpp>
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+constexpr std::size_t base_bytes = 4;
+constexpr std::size_t word_bytes = 4;
+constexpr std::size_t relay_fixed_bytes = 56;
+constexpr std::size_t host_bytes = 8;
+constexpr std::size_t hint_bytes = 24;
+constexpr std::size_t max_extension_bytes = 31 * word_bytes;
+constexpr std::uint8_t relay_format = 1;
+constexpr std::uint8_t control_bit = 0x20;
+constexpr std::uint8_t variant_mask = 0xc0;
+constexpr std::uint8_t length_mask = 0x1f;
+constexpr std::uint8_t protocol_v4 = 4;
+constexpr std::uint8_t protocol_v6 = 41;
+constexpr std::uint8_t flag_wants_confirmation = 0x80;
+constexpr std::uint8_t flag_search_complete = 0x40;
+constexpr std::uint8_t hops_mask = 0x3f;
+
+static_assert(relay_fixed_bytes + max_path_hosts * host_bytes <= max_extension_bytes);
+
+std::uint8_t protocol_of(std::span<const std::uint8_t> packet)
+{
+    return packet.front() >> 4U == 6 ? protocol_v6 : protocol_v4;
+}
+
+std::uint64_t read_u64(std::span<const std::uint8_t> bytes, std::size_t at)
+{
+    return boost::endian::load_big_u64(bytes.data() + at);
+}
+
+void append_u64(wire_buffer& out, std::uint64_t value)
+{
+    std::array<std::uint8_t, 8> raw{};
+    boost::endian::store_big_u64(raw.data(), value);
+    out.insert(out.end(), raw.begin(), raw.end());
+}
+
+void append_u16(wire_buffer& out, std::uint16_t value)
+{
+    std::array<std::uint8_t, 2> raw{};
+    boost::endian::store_big_u16(raw.data(), value);
+    out.insert(out.end(), raw.begin(), raw.end());
+}
+
+std::optional<control_kind> known_control(std::uint8_t value)
+{
+    const bool known = value >= static_cast<std::uint8_t>(control_kind::heartbeat) &&
+                       value <= static_cast<std::uint8_t>(control_kind::records_taken);
+    return known ? std::optional(static_cast<control_kind>(value)) : std::nullopt;
+}
+
+result<relay_header, frame_fault> decode_relay(std::span<const std::uint8_t> bytes)
+{
+    if (bytes.size() < relay_fixed_bytes)
+    {
+        return frame_fault::bad_length;
+    }
+    if (bytes[0] != relay_format)
+    {
+        return frame_fault::wrong_format;
+    }
+    if (bytes[1] >= relay_kind_names.size())
+    {
+        return frame_fault::unknown_kind;
+    }
+    const std::size_t path_length = bytes[3];
+    const std::size_t hint_count = bytes[54];
+    const std::size_t hints_at = relay_fixed_bytes + path_length * host_bytes;
+    const bool fits = path_length <= max_path_hosts && hint_count <= max_riding_hints &&
+                      bytes.size() == hints_at + hint_count * hint_bytes;
+    if (!fits)
+    {
+        return frame_fault::bad_length;
+    }
+    relay_header header;
+    header.kind = static_cast<relay_kind>(bytes[1]);
+    header.wants_confirmation = (bytes[2] & flag_wants_confirmation) != 0;
+    header.search_complete = (bytes[2] & flag_search_complete) != 0;
+    header.hops = bytes[2] & hops_mask;
+    header.ingress = host_id{read_u64(bytes, 4)};
+    header.coordinator = host_id{read_u64(bytes, 12)};
+    header.service = service_id{read_u64(bytes, 20)};
+    header.backend = backend_id{read_u64(bytes, 28)};
+    header.backend_packets.address = make_v6(bytes.data() + 36);
+    header.backend_packets.port = boost::endian::load_big_u16(bytes.data() + 52);
+    for (std::size_t i = 0; i < path_length; ++i)
+    {
+        header.path.push_back(host_id{read_u64(bytes, relay_fixed_bytes + i * host_bytes)});
+    }
+    for (std::size_t i = 0; i < hint_count; ++i)
+    {
+        const std::size_t at = hints_at + i * hint_bytes;
+        const flow_key key{read_u64(bytes, at), read_u64(bytes, at + 8)};
+        header.hints.push_back(hint{key, backend_id{read_u64(bytes, at + 16)}});
+    }
+    return header;
+}
+
+} // namespace
+
+std::size_t hint_room(std::size_t path_length)
+{
+    const std::size_t used = relay_fixed_bytes + path_length * host_bytes;
+    const std::size_t room = (max_extension_bytes - used) / hint_bytes;
+    return room < max_riding_hints ? room : max_riding_hints;
+}
+
+result<frame, frame_fault> decode_frame(std::span<const std::uint8_t> bytes)
+{
+    if (bytes.size() <= base_bytes)
+    {
+        return frame_fault::truncated;
+    }
+    const bool flags_set = bytes[2] != 0 || bytes[3] != 0;
+    if ((bytes[0] & variant_mask) != 0 || flags_set)
+    {
+        return frame_fault::wrong_variant;
+    }
+    const std::size_t extension_bytes = (bytes[0] & length_mask) * word_bytes;
+    if (bytes.size() <= base_bytes + extension_bytes)
+    {
+        return frame_fault::truncated;
+    }
+    frame read;
+    read.body = bytes.subspan(base_bytes + extension_bytes);
+    if ((bytes[0] & control_bit) != 0)
+    {
+        read.control = known_control(bytes[1]);
+        if (!read.control)
+        {
+            return frame_fault::unknown_kind;
+        }
+        if (extension_bytes != 0)
+        {
+            return frame_fault::bad_length;
+        }
+        return read;
+    }
+    if (bytes[1] != protocol_of(read.body))
+    {
+        return frame_fault::unknown_kind;
+    }
+    if (extension_bytes != 0)
+    {
+        auto header = decode_relay(bytes.subspan(base_bytes, extension_bytes));
+        if (!header)
+        {
+            return header.error();
+        }
+        read.relay = header.value();
+    }
+    return read;
+}
+
+void encode_plain(wire_buffer& out, std::span<const std::uint8_t> packet)
+{
+    out.clear();
+    out.push_back(0);
+    out.push_back(protocol_of(packet));
+    append_u16(out, 0);
+}
+
+void encode_relay(wire_buffer& out, const relay_header& header,
+                  std::span<const std::uint8_t> packet)
+{
+    const std::size_t bytes =
+        relay_fixed_bytes + header.path.size() * host_bytes + header.hints.size() * hint_bytes;
+    out.clear();
+    out.push_back(static_cast<std::uint8_t>(bytes / word_bytes));
+    out.push_back(protocol_of(packet));
+    append_u16(out, 0);
+    std::uint8_t flags = header.hops & hops_mask;
+    flags |= header.wants_confirmation ? flag_wants_confirmation : 0;
+    flags |= header.search_complete ? flag_search_complete : 0;
+    out.push_back(relay_format);
+    out.push_back(static_cast<std::uint8_t>(header.kind));
+    out.push_back(flags);
+    out.push_back(static_cast<std::uint8_t>(header.path.size()));
+    append_u64(out, static_cast<std::uint64_t>(header.ingress));
+    append_u64(out, static_cast<std::uint64_t>(header.coordinator));
+    append_u64(out, static_cast<std::uint64_t>(header.service));
+    append_u64(out, static_cast<std::uint64_t>(header.backend));
+    const auto& address = header.backend_packets.address.bytes;
+    out.insert(out.end(), address.begin(), address.end());
+    append_u16(out, header.backend_packets.port);
+    out.push_back(static_cast<std::uint8_t>(header.hints.size()));
+    out.push_back(0);
+    for (const host_id host : header.path)
+    {
+        append_u64(out, static_cast<std::uint64_t>(host));
+    }
+    for (const hint& told : header.hints)
+    {
+        append_u64(out, told.key.high);
+        append_u64(out, told.key.low);
+        append_u64(out, static_cast<std::uint64_t>(told.backend));
+    }
+}
+
+void encode_control(wire_buffer& out, control_kind kind, std::span<const std::uint8_t> body)
+{
+    out.clear();
+    out.push_back(control_bit);
+    out.push_back(static_cast<std::uint8_t>(kind));
+    append_u16(out, 0);
+    out.insert(out.end(), body.begin(), body.end());
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/core/ip_packet.hpp
@@ -0,0 +1,92 @@
+// Reading of IP packets as far as a layer-4 load balancer needs it, and the one packet that it
+// writes itself, the TCP reset.
+//
+// Nothing is guessed from a packet that is not whole: every rejected packet has a named reason,
+// which the core counts.
+#ifndef BRIARBARROW_CORE_IP_PACKET_HPP
+#define BRIARBARROW_CORE_IP_PACKET_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include <boost/container/static_vector.hpp>
+
+#include "core/address.hpp"
+#include "core/result.hpp"
+
+namespace briarbarrow
+{
+
+// Largest IP packet that a host takes. Unit: bytes.
+constexpr std::size_t max_packet_bytes = 9000;
+
+// Transport protocols that can be balanced; the values are IANA's protocol numbers.
+enum class transport : std::uint8_t
+{
+    tcp = 6,
+    udp = 17
+};
+
+// Why a packet was not taken.
+enum class packet_fault : std::uint8_t
+{
+    truncated,
+    oversized,
+    fragmented,
+    wrong_version,
+    bad_length,
+    unsupported_protocol
+};
+
+constexpr std::array<std::string_view, 6> packet_fault_names{
+    "truncated", "oversized", "fragmented", "wrong_version", "bad_length", "unsupported_protocol"};
+
+// The five values that name a flow.
+struct flow_tuple
+{
+    ip_address source;
+    ip_address destination;
+    std::uint16_t source_port = 0;
+    std::uint16_t destination_port = 0;
+    transport protocol = transport::tcp;
+
+    friend auto operator<=>(const flow_tuple&, const flow_tuple&) = default;
+};
+
+// What a packet means to its flow. A datagram protocol has only `middle`.
+enum class packet_role : std::uint8_t
+{
+    opening,
+    middle,
+    closing
+};
+
+// A packet that was read whole.
+struct packet_view
+{
+    flow_tuple tuple;
+    packet_role role = packet_role::middle;
+    bool is_reset = false;
+    bool has_ack = false;
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledgement = 0;
+    // Sequence space that the segment takes: its payload, and one each for SYN and FIN.
+    std::uint32_t sequence_length = 0;
+    std::span<const std::uint8_t> bytes;
+};
+
+// Reads an IPv4 or IPv6 packet. The view refers to the bytes, which must outlive it.
+result<packet_view, packet_fault> parse_packet(std::span<const std::uint8_t> bytes);
+
+// A TCP reset with its IP header.
+using reset_packet = boost::container::static_vector<std::uint8_t, 60>;
+
+// Builds the reset that answers a TCP segment as RFC 9293, section 3.10.7.1 has it.
+reset_packet make_reset(const packet_view& answered);
+
+} // namespace briarbarrow
+
+#endif
--- /dev/null
+++ b/src/core/keepers.cpp
@@ -0,0 +1,159 @@
+#include "core/keepers.hpp"
+
+#include <algorithm>
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+struct ranked_host
+{
+    std::uint64_t score = 0;
+    const view_host* host = nullptr;
+};
+
+std::vector<ranked_host> rank(const view& hosts, service_id service)
+{
+    std::vector<ranked_host> order;
+    order.reserve(hosts.hosts.size());
+    for (const view_host& host : hosts.hosts)
+    {
+        const auto score =
+            mix(static_cast<std::uint64_t>(service), static_cast<std::uint64_t>(host.id));
+        order.push_back(ranked_host{score, &host});
+    }
+    const auto higher = [](const ranked_host& left, const ranked_host& right)
+    {
+        return left.score > right.score;
+    };
+    std::sort(order.begin(), order.end(), higher);
+    return order;
+}
+
+// Moves the best host of another zone than the first one's to the second place.
+void spread_zones(std::vector<ranked_host>& order)
+{
+    if (order.size() < 2)
+    {
+        return;
+    }
+    const std::uint64_t zone = order.front().host->zone;
+    const auto other_zone = [zone](const ranked_host& ranked)
+    {
+        return ranked.host->zone != zone;
+    };
+    const auto second = std::find_if(order.begin() + 1, order.end(), other_zone);
+    if (second != order.end())
+    {
+        std::rotate(order.begin() + 1, second, second + 1);
+    }
+}
+
+const view_host* first_eligible(const std::vector<ranked_host>& order, const view_host* except,
+                                bool other_zone_only)
+{
+    for (const ranked_host& ranked : order)
+    {
+        const bool same_zone = except != nullptr && ranked.host->zone == except->zone;
+        const bool excluded = ranked.host == except || (other_zone_only && same_zone);
+        if (ranked.host->eligible && !excluded)
+        {
+            return ranked.host;
+        }
+    }
+    return nullptr;
+}
+
+view_host make_view_host(const host_info& info, bool eligible)
+{
+    return view_host{info.id, hash_name(info.zone), eligible};
+}
+
+std::vector<view_host> current_hosts(const membership& hosts, millis now)
+{
+    std::vector<view_host> current;
+    if (can_keep(hosts, hosts.self.id, now))
+    {
+        current.push_back(make_view_host(hosts.self, true));
+    }
+    for (const auto& [id, other] : hosts.others)
+    {
+        const bool eligible = can_keep(hosts, id, now);
+        const bool lost = other.state == host_state::gone || other.state == host_state::live;
+        if (eligible || lost)
+        {
+            current.push_back(make_view_host(other.info, eligible));
+        }
+    }
+    const auto by_id = [](const view_host& left, const view_host& right)
+    {
+        return left.id < right.id;
+    };
+    std::sort(current.begin(), current.end(), by_id);
+    return current;
+}
+
+} // namespace
+
+bool update_views(view_history& history, const membership& hosts, millis now)
+{
+    // Being left out for long silence is a matter of time alone, so look now and then as well.
+    const bool due = now >= history.next_check;
+    if (!history.views.empty() && hosts.changes == history.seen_changes && !due)
+    {
+        return false;
+    }
+    history.seen_changes = hosts.changes;
+    history.next_check = now + millis{100};
+    std::vector<view_host> current = current_hosts(hosts, now);
+    if (!history.views.empty() && history.views.front().hosts == current)
+    {
+        return false;
+    }
+    if (!history.views.empty())
+    {
+        history.views.front().superseded = now;
+    }
+    history.views.push_front(view{history.next_number, millis{}, std::move(current)});
+    ++history.next_number;
+    if (history.views.size() > max_views)
+    {
+        history.views.pop_back();
+    }
+    return true;
+}
+
+keeper_pair keepers_in(const view& hosts, service_id service)
+{
+    std::vector<ranked_host> order = rank(hosts, service);
+    spread_zones(order);
+    const view_host* primary = first_eligible(order, nullptr, false);
+    if (primary == nullptr)
+    {
+        return {};
+    }
+    const view_host* standby = first_eligible(order, primary, true);
+    if (standby == nullptr)
+    {
+        standby = first_eligible(order, primary, false);
+    }
+    return keeper_pair{primary->id, standby == nullptr ? host_id::none : standby->id};
+}
+
+host_id partner_in(const keeper_pair& pair, host_id self)
+{
+    if (pair.primary == self)
+    {
+        return pair.standby;
+    }
+    return pair.standby == self ? pair.primary : host_id::none;
+}
+
+bool is_keeper(const keeper_pair& pair, host_id self)
+{
+    return pair.primary == self || pair.standby == self;
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/core/records.cpp
@@ -0,0 +1,138 @@
+#include "core/step_parts.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+bool is_counted(const flow_entry& entry)
+{
+    // A caller that has sent FIN has, but for a few, what it wanted.
+    return entry.role == flow_role::record && entry.phase == flow_phase::open;
+}
+
+void count_out(core_state& state, const flow_entry& entry)
+{
+    std::uint32_t& in_flight = state.known.backends[entry.backend_slot].in_flight;
+    in_flight -= in_flight > 0 ? 1 : 0;
+}
+
+void count_in(core_state& state, const flow_entry& entry)
+{
+    ++state.known.backends[entry.backend_slot].in_flight;
+}
+
+} // namespace
+
+keeper_pair current_keepers(core_state& state, std::uint32_t service_slot)
+{
+    service_runtime& service = state.known.services[service_slot];
+    const view& newest = state.views.views.front();
+    if (service.keepers_view != newest.number)
+    {
+        service.keepers = keepers_in(newest, service.id);
+        service.keepers_view = newest.number;
+        const host_id partner = partner_in(service.keepers, state.hosts.self.id);
+        service.partner_slot = host_slot(state, partner);
+    }
+    return service.keepers;
+}
+
+bool is_confirmed(core_state& state, const flow_entry& entry)
+{
+    current_keepers(state, entry.service_slot);
+    const service_runtime& service = state.known.services[entry.service_slot];
+    return entry.confirmed && entry.partner_slot == service.partner_slot;
+}
+
+std::uint16_t host_slot(core_state& state, host_id host)
+{
+    for (std::size_t slot = 0; slot < state.host_slots.size(); ++slot)
+    {
+        if (state.host_slots[slot] == host)
+        {
+            return static_cast<std::uint16_t>(slot);
+        }
+    }
+    state.host_slots.push_back(host);
+    return static_cast<std::uint16_t>(state.host_slots.size() - 1);
+}
+
+flow_entry& add_record(step_context& step, const flow_key& key, std::uint32_t service_slot,
+                       std::uint32_t backend_slot)
+{
+    flow_entry* entry = step.state.flows.find(key);
+    if (entry == nullptr)
+    {
+        entry = &step.state.flows.insert(key);
+    }
+    else if (is_counted(*entry))
+    {
+        count_out(step.state, *entry);
+    }
+    *entry = flow_entry{};
+    entry->key = key;
+    entry->role = flow_role::record;
+    entry->service_slot = service_slot;
+    entry->backend_slot = backend_slot;
+    entry->created = stamp_of(step.now);
+    entry->last_seen = entry->created;
+    entry->refreshed = entry->created;
+    count_in(step.state, *entry);
+    return *entry;
+}
+
+void change_backend(core_state& state, flow_entry& entry, std::uint32_t backend_slot)
+{
+    if (is_counted(entry))
+    {
+        count_out(state, entry);
+    }
+    entry.backend_slot = backend_slot;
+    if (is_counted(entry))
+    {
+        count_in(state, entry);
+    }
+}
+
+void change_phase(core_state& state, flow_entry& entry, flow_phase phase)
+{
+    const bool before = is_counted(entry);
+    entry.phase = phase;
+    const bool after = is_counted(entry);
+    if (before && !after)
+    {
+        count_out(state, entry);
+        ++state.counters[counter::flows_ended];
+    }
+    if (!before && after)
+    {
+        count_in(state, entry);
+    }
+}
+
+void demote_record(core_state& state, flow_entry& entry)
+{
+    if (is_counted(entry))
+    {
+        count_out(state, entry);
+    }
+    entry.role = flow_role::hint;
+}
+
+void note_packet(step_context& step, flow_entry& entry, const packet_view& packet)
+{
+    entry.last_seen = stamp_of(step.now);
+    if (packet.is_reset)
+    {
+        change_phase(step.state, entry, flow_phase::ended);
+        return;
+    }
+    if (packet.role == packet_role::closing && entry.phase == flow_phase::open)
+    {
+        change_phase(step.state, entry, flow_phase::closing);
+    }
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/core/registry.cpp
@@ -0,0 +1,136 @@
+#include "core/registry.hpp"
+
+#include <array>
+
+#include <xxhash.h>
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+std::uint32_t service_slot_for(registry& known, service_id id)
+{
+    const auto slot = static_cast<std::uint32_t>(known.services.size());
+    const auto [found, added] = known.service_slots.try_emplace(id, slot);
+    if (added)
+    {
+        known.services.emplace_back();
+        known.services.back().id = id;
+    }
+    return found->second;
+}
+
+std::uint32_t backend_slot_for(registry& known, backend_id id)
+{
+    const auto slot = static_cast<std::uint32_t>(known.backends.size());
+    const auto [found, added] = known.backend_slots.try_emplace(id, slot);
+    if (added)
+    {
+        known.backends.emplace_back();
+        known.backends.back().id = id;
+    }
+    return found->second;
+}
+
+void retire_all(registry& known)
+{
+    for (service_runtime& service : known.services)
+    {
+        service.configured = false;
+        service.backends.clear();
+    }
+    for (backend_runtime& backend : known.backends)
+    {
+        backend.takes_flows = false;
+    }
+}
+
+void apply_backend(registry& known, std::uint32_t service_slot, const backend_config& value)
+{
+    const std::uint32_t slot = backend_slot_for(known, backend_id_of(value.name));
+    backend_runtime& backend = known.backends[slot];
+    backend.name = value.name;
+    backend.zone = value.zone;
+    backend.service_slot = service_slot;
+    backend.packets = value.packets;
+    backend.weight = value.weight;
+    backend.max_connections = value.max_connections;
+    backend.takes_flows = value.state == backend_state::active;
+    known.services[service_slot].backends.push_back(slot);
+}
+
+void apply_service(registry& known, const service_config& value)
+{
+    const std::uint32_t slot = service_slot_for(known, service_id_of(value.name));
+    service_runtime& service = known.services[slot];
+    service.name = value.name;
+    service.configured = true;
+    service.at_most_once = value.at_most_once;
+    service.protocol = value.protocol;
+    service.idle_timeout = value.idle_timeout;
+    for (const ip_address& address : value.addresses)
+    {
+        known.by_address[service_address{address, value.port, value.protocol}] = slot;
+    }
+    for (const backend_config& backend : value.backends)
+    {
+        apply_backend(known, slot, backend);
+    }
+}
+
+} // namespace
+
+std::size_t service_address_hash::operator()(const service_address& value) const
+{
+    const auto protocol = static_cast<std::uint64_t>(value.protocol);
+    const std::uint64_t seed = (protocol << 16U) | value.port;
+    return XXH3_64bits_withSeed(value.address.bytes.data(), value.address.bytes.size(), seed);
+}
+
+void apply_configuration(registry& known, const configuration& value)
+{
+    retire_all(known);
+    for (const service_config& service : value.services)
+    {
+        apply_service(known, service);
+    }
+}
+
+std::optional<std::uint32_t> find_service(const registry& known, const flow_tuple& tuple)
+{
+    const service_address wanted{tuple.destination, tuple.destination_port, tuple.protocol};
+    const auto found = known.by_address.find(wanted);
+    return found == known.by_address.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<std::uint32_t> find_service(const registry& known, service_id id)
+{
+    const auto found = known.service_slots.find(id);
+    return found == known.service_slots.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<std::uint32_t> find_backend(const registry& known, backend_id id)
+{
+    const auto found = known.backend_slots.find(id);
+    return found == known.backend_slots.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::uint32_t learn_backend(registry& known, backend_id id, std::uint32_t service_slot,
+                            const endpoint& packets)
+{
+    const auto before = find_backend(known, id);
+    if (before)
+    {
+        return *before;
+    }
+    const std::uint32_t slot = backend_slot_for(known, id);
+    backend_runtime& backend = known.backends[slot];
+    backend.name = "unnamed";
+    backend.service_slot = service_slot;
+    backend.packets = packets;
+    return slot;
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/core/step_parts.hpp
@@ -0,0 +1,109 @@
+// The parts of step(), for the core's own files only.
+#ifndef BRIARBARROW_CORE_STEP_PARTS_HPP
+#define BRIARBARROW_CORE_STEP_PARTS_HPP
+
+#include <optional>
+
+#include "core/core.hpp"
+
+namespace briarbarrow
+{
+
+// One step in progress.
+struct step_context
+{
+    core_state& state;
+    millis now;
+    actions& out;
+};
+
+// A packet on its way through this host, with the service that it is for.
+struct packet_in_hand
+{
+    const packet_view& packet;
+    flow_key key;
+    std::uint32_t service_slot = 0;
+    host_id ingress = host_id::none;
+    // Who is to be told where the packet ended; none when nobody asked.
+    host_id coordinator = host_id::none;
+    std::uint8_t hops = 0;
+};
+
+// fast_path.cpp: reads a packet and counts why it can't be read.
+std::optional<packet_view> parse_counted(step_context& step, std::span<const std::uint8_t> bytes);
+
+// fast_path.cpp: a packet from the fabric.
+void take_fabric_packet(step_context& step, std::span<const std::uint8_t> bytes);
+
+// coordinator.cpp: makes this host the coordinator of the packet.
+void coordinate(step_context& step, const packet_in_hand& hand);
+
+// coordinator.cpp: a packet with a relay header from another host.
+void take_relay(step_context& step, const relay_header& header,
+                std::span<const std::uint8_t> bytes);
+
+// hints.cpp: a hint from another host.
+void take_hint(step_context& step, host_id sender, const hint& told);
+
+// hints.cpp: tells a host where the packets of a flow go, on the next packet to it.
+void queue_hint(step_context& step, host_id to, const flow_entry& entry);
+
+// hints.cpp: moves waiting hints for a host into the header of a packet to it.
+void load_hints(core_state& state, host_id to, relay_header& header);
+
+// hints.cpp: sends hints that found no packet, within their budget.
+void send_waiting_hints(step_context& step);
+
+// sweep.cpp: visits a part of the flow table, expires entries and moves records.
+void sweep_flows(step_context& step);
+
+// sweep.cpp: records that another keeper has sent, and the answer to ours.
+void take_records(step_context& step, host_id sender, const records& batch);
+void take_records_taken(step_context& step, host_id sender, const records_taken& answer);
+
+// records.cpp: the keepers of a service in the newest view.
+keeper_pair current_keepers(core_state& state, std::uint32_t service_slot);
+
+// records.cpp: true when the other keeper of today is known to have the record.
+bool is_confirmed(core_state& state, const flow_entry& entry);
+
+// The slot of host_id::none.
+constexpr std::uint16_t no_host_slot = 0;
+
+// records.cpp: this host's slot for another host.
+std::uint16_t host_slot(core_state& state, host_id host);
+
+// records.cpp: writes a new record. Counts the flow as in flight.
+flow_entry& add_record(step_context& step, const flow_key& key, std::uint32_t service_slot,
+                       std::uint32_t backend_slot);
+
+// records.cpp: gives a record another backend server and keeps the counts right.
+void change_backend(core_state& state, flow_entry& entry, std::uint32_t backend_slot);
+
+// records.cpp: moves a record to a phase and keeps the counts right.
+void change_phase(core_state& state, flow_entry& entry, flow_phase phase);
+
+// records.cpp: makes a record a hint, which is no longer counted.
+void demote_record(core_state& state, flow_entry& entry);
+
+// records.cpp: notes on a record what a packet says about its flow.
+void note_packet(step_context& step, flow_entry& entry, const packet_view& packet);
+
+// send.cpp: sends a packet to a backend server.
+void send_to_backend(step_context& step, std::uint32_t backend_slot, const packet_view& packet);
+
+// send.cpp: sends a packet with a relay header to a host. False when the host is not known.
+bool send_relay(step_context& step, host_id to, relay_header header, const packet_view& packet);
+
+// send.cpp: sends a TCP reset to the caller of a packet.
+void send_reset(step_context& step, const packet_view& packet);
+
+// send.cpp: sends a control message to a host and counts its bytes.
+void send_control(step_context& step, host_id to, control_kind kind, const message_bytes& body);
+
+// send.cpp: the packet endpoint of a host, or null.
+const endpoint* packets_of(const core_state& state, host_id host);
+
+} // namespace briarbarrow
+
+#endif
--- /dev/null
+++ b/src/standin/standin_platform.cpp
@@ -0,0 +1,436 @@
+// standin_platform: a small stand-in for the platform's key-value service, with the part of the
+// etcd v3 JSON gateway that the project uses, and switches that make it fail.
+//
+// Switches: POST /standin/switch with any of {"down": BOOL, "slow_ms": N, "lose_before": N,
+// "lose_after": N, "snapshot": "take" | "restore"}. lose_before and lose_after drop the answers of
+// the next N writes, before and after they take effect. Counts: GET /standin/counts.
+#include <algorithm>
+#include <iostream>
+#include <list>
+#include <memory>
+
+#include <cxxopts.hpp>
+#include <libsoup/soup.h>
+#include <nlohmann/json.hpp>
+
+#include "adapters/etcd_codec.hpp"
+#include "adapters/monotonic_clock.hpp"
+#include "core/address.hpp"
+#include "standin/kv_store.hpp"
+
+namespace
+{
+
+using namespace briarbarrow;
+using nlohmann::json;
+
+constexpr guint expiry_interval_ms = 100;
+
+// An open watch: where its changes go.
+struct open_watch
+{
+    SoupServerMessage* message = nullptr;
+    std::string begin;
+    std::string end;
+};
+
+// What makes the stand-in fail.
+struct failure_switches
+{
+    bool down = false;
+    guint slow_ms = 0;
+    int lose_before = 0;
+    int lose_after = 0;
+};
+
+// The whole stand-in.
+struct standin
+{
+    kv_store store;
+    kv_store snapshot;
+    failure_switches switches;
+    std::list<open_watch> watches;
+    std::map<std::string, std::uint64_t> counts;
+};
+
+std::int64_t integer_of(const json& body, const char* name)
+{
+    if (!body.contains(name))
+    {
+        return 0;
+    }
+    const json& field = body.at(name);
+    return field.is_string() ? std::stoll(field.get<std::string>()) : field.get<std::int64_t>();
+}
+
+std::string bytes_of(const json& body, const char* name)
+{
+    return body.contains(name) ? from_base64(body.at(name).get<std::string>()) : "";
+}
+
+json header_of(const standin& self)
+{
+    return json{{"revision", std::to_string(self.store.revision)}};
+}
+
+json entry_of(const std::string& key, const stored_value& stored)
+{
+    return json{{"key", to_base64(key)},
+                {"value", to_base64(stored.value)},
+                {"mod_revision", std::to_string(stored.mod_revision)},
+                {"lease", std::to_string(stored.lease)}};
+}
+
+void send_text(SoupServerMessage* message, const std::string& text)
+{
+    soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, text.data(),
+                                     text.size());
+}
+
+// Breaks the connection off without an answer.
+void drop(SoupServerMessage* message)
+{
+    GIOStream* stream = soup_server_message_steal_connection(message);
+    g_io_stream_close(stream, nullptr, nullptr);
+    g_object_unref(stream);
+}
+
+void tell_watch(const standin& self, const open_watch& watch,
+                const std::vector<store_change>& changes)
+{
+    json events = json::array();
+    for (const store_change& change : changes)
+    {
+        if (!in_range(change.key, watch.begin, watch.end))
+        {
+            continue;
+        }
+        json event{{"kv", entry_of(change.key, change.value)}};
+        event["type"] = change.deleted ? "DELETE" : "PUT";
+        events.push_back(event);
+    }
+    if (events.empty())
+    {
+        return;
+    }
+    const json line{{"result", {{"header", header_of(self)}, {"events", events}}}};
+    const std::string text = line.dump() + "\n";
+    SoupMessageBody* body = soup_server_message_get_response_body(watch.message);
+    soup_message_body_append(body, SOUP_MEMORY_COPY, text.data(), text.size());
+    soup_server_message_unpause(watch.message);
+}
+
+void tell_watches(standin& self)
+{
+    const std::vector<store_change> changes = std::move(self.store.changes);
+    self.store.changes.clear();
+    if (changes.empty() || self.switches.down)
+    {
+        return;
+    }
+    for (const open_watch& watch : self.watches)
+    {
+        tell_watch(self, watch, changes);
+    }
+}
+
+void forget_watch(SoupServerMessage* message, gpointer data)
+{
+    auto* self = static_cast<standin*>(data);
+    self->watches.remove_if([message](const open_watch& watch)
+                            { return watch.message == message; });
+}
+
+std::string answer_range(standin& self, const json& body)
+{
+    const std::string begin = bytes_of(body, "key");
+    const std::string end = bytes_of(body, "range_end");
+    json entries = json::array();
+    for (const auto& [key, stored] : self.store.values)
+    {
+        if (in_range(key, begin, end))
+        {
+            entries.push_back(entry_of(key, stored));
+        }
+    }
+    const std::size_t count = entries.size();
+    return json{
+        {"header", header_of(self)}, {"kvs", std::move(entries)}, {"count", std::to_string(count)}}
+        .dump();
+}
+
+std::string answer_put(standin& self, const json& body)
+{
+    put_value(self.store, bytes_of(body, "key"), bytes_of(body, "value"),
+              integer_of(body, "lease"));
+    return json{{"header", header_of(self)}}.dump();
+}
+
+std::string answer_txn(standin& self, const json& body)
+{
+    bool equal = true;
+    for (const json& compare : body.at("compare"))
+    {
+        const auto found = self.store.values.find(bytes_of(compare, "key"));
+        const std::int64_t actual =
+            found == self.store.values.end() ? 0 : found->second.mod_revision;
+        equal = equal && actual == integer_of(compare, "mod_revision");
+    }
+    if (equal)
+    {
+        for (const json& operation : body.at("success"))
+        {
+            const json& put = operation.at("request_put");
+            put_value(self.store, bytes_of(put, "key"), bytes_of(put, "value"), 0);
+        }
+    }
+    return json{{"header", header_of(self)}, {"succeeded", equal}}.dump();
+}
+
+std::string answer_grant(standin& self, const json& body)
+{
+    constexpr std::int64_t milliseconds_per_second = 1000;
+    const std::int64_t seconds = integer_of(body, "TTL");
+    const std::int64_t lease =
+        grant_lease(self.store, millis{seconds * milliseconds_per_second}, monotonic_now());
+    return json{{"ID", std::to_string(lease)}, {"TTL", std::to_string(seconds)}}.dump();
+}
+
+std::string answer_keep_alive(standin& self, const json& body)
+{
+    constexpr std::int64_t milliseconds_per_second = 1000;
+    const std::int64_t lease = integer_of(body, "ID");
+    const millis span = prolong_lease(self.store, lease, monotonic_now());
+    const std::string seconds = std::to_string(span.count / milliseconds_per_second);
+    return json{{"result", {{"ID", std::to_string(lease)}, {"TTL", seconds}}}}.dump();
+}
+
+std::string answer_revoke(standin& self, const json& body)
+{
+    revoke_lease(self.store, integer_of(body, "ID"));
+    return json{{"header", header_of(self)}}.dump();
+}
+
+void open_new_watch(standin& self, SoupServerMessage* message, const json& body)
+{
+    const json& create = body.at("create_request");
+    SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+    soup_message_headers_set_encoding(headers, SOUP_ENCODING_CHUNKED);
+    soup_message_headers_set_content_type(headers, "application/json", nullptr);
+    soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+    SoupMessageBody* answer = soup_server_message_get_response_body(message);
+    soup_message_body_set_accumulate(answer, FALSE);
+    const json line{{"result", {{"header", header_of(self)}, {"created", true}}}};
+    const std::string text = line.dump() + "\n";
+    soup_message_body_append(answer, SOUP_MEMORY_COPY, text.data(), text.size());
+    self.watches.push_back(
+        open_watch{message, bytes_of(create, "key"), bytes_of(create, "range_end")});
+    g_signal_connect(message, "finished", G_CALLBACK(forget_watch), &self);
+}
+
+void end_all_watches(standin& self)
+{
+    const auto watches = self.watches;
+    for (const open_watch& watch : watches)
+    {
+        soup_message_body_complete(soup_server_message_get_response_body(watch.message));
+        soup_server_message_unpause(watch.message);
+    }
+}
+
+void take_switch(standin& self, SoupServerMessage* message, const json& body)
+{
+    self.switches.down = body.value("down", self.switches.down);
+    self.switches.slow_ms = body.value("slow_ms", self.switches.slow_ms);
+    self.switches.lose_before = body.value("lose_before", self.switches.lose_before);
+    self.switches.lose_after = body.value("lose_after", self.switches.lose_after);
+    const std::string snapshot = body.value("snapshot", "");
+    if (snapshot == "take")
+    {
+        self.snapshot = self.store;
+    }
+    if (snapshot == "restore")
+    {
+        self.store = self.snapshot;
+        self.store.changes.clear();
+        end_all_watches(self);
+    }
+    if (self.switches.down)
+    {
+        end_all_watches(self);
+    }
+    send_text(message, "{}");
+}
+
+using answer_function = std::string (*)(standin&, const json&);
+
+struct route
+{
+    std::string_view path;
+    bool is_write = false;
+    answer_function answer = nullptr;
+};
+
+constexpr std::array<route, 6> routes{{
+    {"/v3/kv/range", false, answer_range},
+    {"/v3/kv/put", true, answer_put},
+    {"/v3/kv/txn", true, answer_txn},
+    {"/v3/lease/grant", true, answer_grant},
+    {"/v3/lease/keepalive", true, answer_keep_alive},
+    {"/v3/lease/revoke", true, answer_revoke},
+}};
+
+void answer_call(standin& self, SoupServerMessage* message, const route& called, const json& body)
+{
+    if (called.is_write && self.switches.lose_before > 0)
+    {
+        --self.switches.lose_before;
+        drop(message);
+        return;
+    }
+    const std::string text = called.answer(self, body);
+    if (called.is_write && self.switches.lose_after > 0)
+    {
+        --self.switches.lose_after;
+        drop(message);
+    }
+    else
+    {
+        send_text(message, text);
+    }
+    tell_watches(self);
+}
+
+// A call whose answer is held back.
+struct slow_call
+{
+    standin* self = nullptr;
+    SoupServerMessage* message = nullptr;
+    const route* called = nullptr;
+    json body;
+};
+
+gboolean finish_slow_call(gpointer data)
+{
+    const std::unique_ptr<slow_call> call(static_cast<slow_call*>(data));
+    answer_call(*call->self, call->message, *call->called, call->body);
+    soup_server_message_unpause(call->message);
+    g_object_unref(call->message);
+    return G_SOURCE_REMOVE;
+}
+
+void dispatch(standin& self, SoupServerMessage* message, const std::string& path, const json& body)
+{
+    if (path == "/standin/switch")
+    {
+        take_switch(self, message, body);
+        return;
+    }
+    if (path == "/standin/counts")
+    {
+        send_text(message, json(self.counts).dump());
+        return;
+    }
+    if (self.switches.down)
+    {
+        drop(message);
+        return;
+    }
+    ++self.counts[path];
+    if (path == "/v3/watch")
+    {
+        open_new_watch(self, message, body);
+        return;
+    }
+    const auto by_path = [&path](const route& known)
+    {
+        return known.path == path;
+    };
+    const auto* found = std::find_if(routes.begin(), routes.end(), by_path);
+    if (found == routes.end())
+    {
+        soup_server_message_set_status(message, SOUP_STATUS_NOT_FOUND, nullptr);
+        return;
+    }
+    if (self.switches.slow_ms == 0)
+    {
+        answer_call(self, message, *found, body);
+        return;
+    }
+    auto* held = new slow_call{&self, SOUP_SERVER_MESSAGE(g_object_ref(message)), found, body};
+    soup_server_message_pause(message);
+    g_timeout_add(self.switches.slow_ms, finish_slow_call, held);
+}
+
+void on_request(SoupServer* /*server*/, SoupServerMessage* message, const char* path,
+                GHashTable* /*query*/, gpointer data)
+{
+    SoupMessageBody* request = soup_server_message_get_request_body(message);
+    const std::string text(request->data == nullptr ? "" : request->data,
+                           static_cast<std::size_t>(request->length));
+    try
+    {
+        const json body = text.empty() ? json::object() : json::parse(text);
+        dispatch(*static_cast<standin*>(data), message, path, body);
+    }
+    catch (const std::exception& wrong)
+    {
+        // Junk from a client under test must not end the stand-in.
+        soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, wrong.what());
+    }
+}
+
+gboolean on_expiry(gpointer data)
+{
+    auto* self = static_cast<standin*>(data);
+    expire_leases(self->store, monotonic_now());
+    tell_watches(*self);
+    return G_SOURCE_CONTINUE;
+}
+
+int run(const endpoint& local)
+{
+    standin self;
+    GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+    SoupServer* server = soup_server_new("server-header", "standin_platform", nullptr);
+    soup_server_add_handler(server, nullptr, on_request, &self, nullptr);
+    GInetAddress* address = g_inet_address_new_from_string(to_string(local.address).c_str());
+    GSocketAddress* bound = g_inet_socket_address_new(address, local.port);
+    GError* error = nullptr;
+    soup_server_listen(server, bound, static_cast<SoupServerListenOptions>(0), &error);
+    g_object_unref(bound);
+    g_object_unref(address);
+    if (error != nullptr)
+    {
+        std::cerr << "standin_platform: " << error->message << '\n';
+        g_error_free(error);
+        return 1;
+    }
+    g_timeout_add(expiry_interval_ms, on_expiry, &self);
+    g_main_loop_run(loop);
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("standin_platform", "A stand-in for the platform, for tests.");
+    options.add_options()("listen", "Address and port",
+                          cxxopts::value<std::string>()->default_value("127.0.0.1:2379"))(
+        "help", "Print this text and end");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0)
+    {
+        std::cout << options.help();
+        return 0;
+    }
+    const auto local = parse_endpoint(parsed["listen"].as<std::string>());
+    if (!local)
+    {
+        std::cerr << "standin_platform: --listen must be an IP number and a port\n";
+        return 2;
+    }
+    return run(*local);
+}
