A host that was counted out is taken off the platform's list by its peers

Cause: after a crash the fabric sprayed a fifth of all packets at the dead host until its listing's lease ended, 60 s later.

Change: the first live host deletes the listing of a host that the monitors counted out, by a compare-and-swap on the listing's own revision and only for that incarnation or an older one; a host that was wrongly counted out lists itself again when it joins.

--- a/src/adapters/etcd_codec.cpp
+++ b/src/adapters/etcd_codec.cpp
@@ -153,6 +153,10 @@
         const json operation{{"key", to_base64(put.key)}, {"value", to_base64(put.value)}};
         success.push_back(json{{"request_put", operation}});
     }
+    for (const std::string& key : request.deletes)
+    {
+        success.push_back(json{{"request_delete_range", {{"key", to_base64(key)}}}});
+    }
     const json body{{"compare", json::array({compare})}, {"success", success}};
     return body.dump();
 }
--- a/src/adapters/etcd_codec.hpp
+++ b/src/adapters/etcd_codec.hpp
@@ -37,12 +37,14 @@
     std::string value;
 };
 
-// Compares the last change of one key (0: the key must be absent), then puts all or nothing.
+// Compares the last change of one key (0: the key must be absent), then puts and deletes all or
+// nothing.
 struct swap_request
 {
     std::string compared_key;
     std::int64_t expected_mod_revision = 0;
     std::vector<put_operation> puts;
+    std::vector<std::string> deletes;
 };
 
 // One message of a watch stream.
--- a/src/adapters/host_daemon.cpp
+++ b/src/adapters/host_daemon.cpp
@@ -268,6 +268,12 @@
     }
     this->list_host();
     this->update_watching();
+    const bool changed = this->core.hosts.changes != this->seen_changes;
+    this->seen_changes = this->core.hosts.changes;
+    if (changed || now >= this->next_seed)
+    {
+        this->unlist_lost_hosts();
+    }
     if (now >= this->next_seed)
     {
         this->seed_peers();
@@ -412,6 +418,29 @@
     this->platform->set_watching(before < watchers_per_zone);
 }
 
+// One host does it for all: the first live one by identifier. Asked again from time to time, since
+// the platform may not answer.
+void host_daemon::unlist_lost_hosts()
+{
+    const membership& hosts = this->core.hosts;
+    const auto is_earlier = [&hosts](const auto& entry)
+    {
+        const bool serves = entry.second.state == host_state::live && !entry.second.suspected;
+        return serves && entry.first < hosts.self.id;
+    };
+    if (std::any_of(hosts.others.begin(), hosts.others.end(), is_earlier))
+    {
+        return;
+    }
+    for (const auto& [id, other] : hosts.others)
+    {
+        if (other.state == host_state::gone)
+        {
+            this->platform->unlist_lost(other.info.name, other.info.incarnation);
+        }
+    }
+}
+
 void host_daemon::seed_peers()
 {
     this->next_seed = monotonic_now() + seed_interval;
--- a/src/adapters/host_daemon.hpp
+++ b/src/adapters/host_daemon.hpp
@@ -63,6 +63,7 @@
     void remember(const std::string& text);
     void list_host();
     void update_watching();
+    void unlist_lost_hosts();
     void seed_peers();
     std::string metrics_page();
     std::string story_page() const;
@@ -84,6 +85,7 @@
     millis last_tick;
     millis next_seed;
     millis next_configuration_ask;
+    std::uint64_t seen_changes = 0;
     millis stop_since;
     host_state listed_state = host_state::unheard;
     std::uint64_t listed_incarnation = 0;
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "adapters/json_codec.hpp"
+
 namespace briarbarrow
 {
 
@@ -240,6 +242,38 @@
     this->call("/v3/lease/revoke", encode_lease_id(this->lease), [](const call_result&) {});
 }
 
+void platform_client::unlist_lost(const std::string& name, std::uint64_t incarnation)
+{
+    ++this->counted.reads;
+    const std::string key = this->prefix + std::string(hosts_prefix) + name;
+    this->call("/v3/kv/range", encode_range(key, ""),
+               [this, incarnation](const call_result& answer)
+               {
+                   const auto range = answer ? decode_range(answer.value())
+                                             : result<range_answer, text_error>(text_error{});
+                   if (!range || range.value().entries.empty())
+                   {
+                       return;
+                   }
+                   const key_value& listing = range.value().entries.front();
+                   const auto listed = host_from_json(listing.value);
+                   if (listed && listed.value().info.incarnation <= incarnation)
+                   {
+                       this->delete_listing(listing);
+                   }
+               });
+}
+
+void platform_client::delete_listing(const key_value& listing)
+{
+    ++this->counted.writes;
+    swap_request request;
+    request.compared_key = listing.key;
+    request.expected_mod_revision = listing.mod_revision;
+    request.deletes.push_back(listing.key);
+    this->call("/v3/kv/txn", encode_swap(request), [](const call_result&) {});
+}
+
 void platform_client::set_watching(bool wanted)
 {
     if (wanted == this->watching)
--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -69,6 +69,10 @@
     // Takes this host off the list, without waiting for the answer.
     void unlist_host();
 
+    // Takes a host that was counted out off the list, so that the fabric learns of it before its
+    // lease ends. Only a listing of this incarnation or an older one goes, and only unchanged.
+    void unlist_lost(const std::string& name, std::uint64_t incarnation);
+
     // Calls made so far.
     const platform_calls& calls() const;
 
@@ -83,6 +87,7 @@
     void keep_alive();
     void open_watch();
     void close_watch();
+    void delete_listing(const key_value& listing);
     void note_result(bool good);
     void later(millis pause, std::function<void()> action);
     millis backoff_pause();
--- a/src/standin/kv_store.cpp
+++ b/src/standin/kv_store.cpp
@@ -12,6 +12,15 @@
     store.changes.push_back(store_change{key, stored, false});
 }
 
+void delete_value(kv_store& store, const std::string& key)
+{
+    if (store.values.erase(key) > 0)
+    {
+        ++store.revision;
+        store.changes.push_back(store_change{key, {}, true});
+    }
+}
+
 std::int64_t grant_lease(kv_store& store, millis span, millis now)
 {
     const std::int64_t lease = store.next_lease++;
--- a/src/standin/kv_store.hpp
+++ b/src/standin/kv_store.hpp
@@ -51,6 +51,9 @@
 void put_value(kv_store& store, const std::string& key, const std::string& value,
                std::int64_t lease);
 
+// Deletes a key, if it is there.
+void delete_value(kv_store& store, const std::string& key);
+
 // Grants a lease.
 std::int64_t grant_lease(kv_store& store, millis span, millis now);
 
--- a/src/standin/standin_platform.cpp
+++ b/src/standin/standin_platform.cpp
@@ -181,6 +181,11 @@
     {
         for (const json& operation : body.at("success"))
         {
+            if (operation.contains("request_delete_range"))
+            {
+                delete_value(self.store, bytes_of(operation.at("request_delete_range"), "key"));
+                continue;
+            }
             const json& put = operation.at("request_put");
             put_value(self.store, bytes_of(put, "key"), bytes_of(put, "value"), 0);
         }
