--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -10,170 +10,8 @@
 namespace
 {
 
-// A packet is passed between hosts at most this often.
-constexpr std::uint8_t max_hops = 12;
 // After this many forwards the holder coordinates, whatever its view says.
 constexpr std::uint8_t max_forwards = 3;
-// The ingress is told where a flow goes from this many passes on; short flows are not worth it.
-constexpr std::uint8_t passes_before_hint = 3;
-// A confirmation this old is asked for again.
-constexpr millis refresh_after{4'000};
-// In a domain of up to this many others, a search asks all of them.
-constexpr std::size_t search_all_others = max_path_hosts;
-
-// What is to become of an opening packet whose flow has a record already.
-enum class reuse : std::uint8_t
-{
-    keep,
-    replace,
-    drop
-};
-
-void add_once(host_path& path, host_id host, host_id except)
-{
-    const bool known = std::find(path.begin(), path.end(), host) != path.end();
-    if (host != host_id::none && host != except && !known && path.size() < path.capacity())
-    {
-        path.push_back(host);
-    }
-}
-
-void add_reachable(step_context& step, host_path& path, host_id host)
-{
-    if (is_reachable(step.state.hosts, host, step.now))
-    {
-        add_once(path, host, step.state.hosts.self.id);
-    }
-}
-
-// The keepers that a packet visits before its backend server: those of today, and those of views
-// that hosts may still have.
-host_path chain_of(step_context& step, std::uint32_t service_slot)
-{
-    core_state& state = step.state;
-    host_path chain;
-    const keeper_pair keepers = current_keepers(state, service_slot);
-    add_once(chain, keepers.primary, state.hosts.self.id);
-    add_once(chain, keepers.standby, state.hosts.self.id);
-    const service_id service = state.known.services[service_slot].id;
-    const auto& views = state.views.views;
-    for (std::size_t i = 1; i < views.size(); ++i)
-    {
-        if (step.now - views[i].superseded > overlap_span)
-        {
-            break;
-        }
-        const keeper_pair before = keepers_in(views[i], service);
-        add_reachable(step, chain, before.primary);
-        add_reachable(step, chain, before.standby);
-    }
-    return chain;
-}
-
-// The hosts that may know a flow which its coordinator does not.
-host_path search_path_of(step_context& step, std::uint32_t service_slot, millis horizon)
-{
-    core_state& state = step.state;
-    host_path path;
-    const keeper_pair keepers = current_keepers(state, service_slot);
-    add_reachable(step, path, keepers.primary);
-    add_reachable(step, path, keepers.standby);
-    const service_id service = state.known.services[service_slot].id;
-    const auto& views = state.views.views;
-    for (std::size_t i = 1; i < views.size(); ++i)
-    {
-        if (step.now - views[i].superseded > horizon)
-        {
-            break;
-        }
-        const keeper_pair before = keepers_in(views[i], service);
-        add_reachable(step, path, before.primary);
-        add_reachable(step, path, before.standby);
-    }
-    if (state.hosts.others.size() <= search_all_others)
-    {
-        for (const auto& [id, other] : state.hosts.others)
-        {
-            add_reachable(step, path, id);
-        }
-    }
-    return path;
-}
-
-// True when no host that could know a flow is out of reach without being counted out.
-bool is_search_complete(const step_context& step)
-{
-    const membership& hosts = step.state.hosts;
-    const auto in_limbo = [](const auto& entry)
-    {
-        return entry.second.suspected;
-    };
-    const bool limbo = std::any_of(hosts.others.begin(), hosts.others.end(), in_limbo);
-    return !limbo && has_grant(hosts, step.now);
-}
-
-relay_header make_header(const step_context& step, const packet_in_hand& hand, relay_kind kind)
-{
-    relay_header header;
-    header.kind = kind;
-    header.hops = static_cast<std::uint8_t>(hand.hops + 1);
-    header.ingress = hand.ingress;
-    header.coordinator = hand.coordinator;
-    header.service = step.state.known.services[hand.service_slot].id;
-    return header;
-}
-
-void pass_along(step_context& step, relay_header header, const packet_in_hand& hand)
-{
-    if (hand.hops >= max_hops)
-    {
-        ++step.state.counters[counter::dropped_hops];
-        return;
-    }
-    const host_id next = header.path.front();
-    header.path.erase(header.path.begin());
-    send_relay(step, next, header, hand.packet);
-}
-
-// Sends a packet to a backend server through the other keepers.
-void send_through_keepers(step_context& step, const packet_in_hand& hand, flow_entry& entry)
-{
-    entry.passes += entry.passes < 255 ? 1 : 0;
-    host_path chain = chain_of(step, hand.service_slot);
-    if (chain.empty())
-    {
-        entry.confirmed = true;
-        entry.partner_slot = no_host_slot;
-        entry.refreshed = stamp_of(step.now);
-        send_to_backend(step, entry.backend_slot, hand.packet);
-        return;
-    }
-    const backend_runtime& backend = step.state.known.backends[entry.backend_slot];
-    relay_header header = make_header(step, hand, relay_kind::deposit);
-    header.coordinator = step.state.hosts.self.id;
-    const bool stale = since(entry.refreshed, step.now) >= refresh_after;
-    header.wants_confirmation = stale || !is_confirmed(step.state, entry);
-    header.service = step.state.known.services[entry.service_slot].id;
-    header.backend = backend.id;
-    header.backend_packets = backend.packets;
-    header.path = chain;
-    pass_along(step, header, hand);
-}
-
-reuse judge_reuse(const step_context& step, const packet_in_hand& hand, const flow_entry& entry)
-{
-    const backend_runtime& backend = step.state.known.backends[entry.backend_slot];
-    const bool same_service = entry.service_slot == hand.service_slot;
-    const bool young = since(entry.created, step.now) < racing_span;
-    if (same_service && (backend.takes_flows || (young && entry.phase == flow_phase::open)))
-    {
-        return reuse::keep;
-    }
-    // The old backend server gets no new work. Hints to it may be left for a while.
-    const bool hints_gone = since(entry.last_seen, step.now) >= hint_lifetime;
-    return hints_gone ? reuse::replace : reuse::drop;
-}
-
 void place_flow(step_context& step, const packet_in_hand& hand)
 {
     core_state& state = step.state;
@@ -194,6 +32,8 @@
     ++state.counters[counter::flows_opened];
     ++state.known.backends[*backend_slot].opened;
     flow_entry& entry = add_record(step, hand.key, hand.service_slot, *backend_slot);
+    const bool granted = has_grant(state.hosts, step.now);
+    entry.rank = granted ? flow_rank::choice : flow_rank::provisional_choice;
     send_through_keepers(step, hand, entry);
 }
 
@@ -265,36 +105,6 @@
     return true;
 }
 
-// True when two keepers that may have held records of a service are both lost, so that a datagram
-// without a record may have been sent to a backend server before.
-bool lost_both_keepers(const step_context& step, std::uint32_t service_slot)
-{
-    const core_state& state = step.state;
-    const service_runtime& service = state.known.services[service_slot];
-    const auto is_lost = [&step](host_id host)
-    {
-        const auto found = step.state.hosts.others.find(host);
-        const bool left =
-            found != step.state.hosts.others.end() && found->second.state == host_state::left;
-        return host != host_id::none && !left && !is_reachable(step.state.hosts, host, step.now);
-    };
-    const auto& views = state.views.views;
-    for (std::size_t i = 1; i < views.size(); ++i)
-    {
-        if (step.now - views[i].superseded > service.idle_timeout)
-        {
-            return false;
-        }
-        const keeper_pair before = keepers_in(views[i], service.id);
-        const bool no_standby = before.standby == host_id::none;
-        if (is_lost(before.primary) && (no_standby || is_lost(before.standby)))
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
 // The last word on a packet whose flow no reachable host knows.
 void settle_unknown(step_context& step, const packet_in_hand& hand, bool complete)
 {
@@ -374,87 +184,6 @@
     }
 }
 
-flow_entry* find_record(core_state& state, const flow_key& key)
-{
-    flow_entry* entry = state.flows.find(key);
-    const bool is_record = entry != nullptr && entry->role == flow_role::record;
-    return is_record ? entry : nullptr;
-}
-
-// The record that a deposit leaves here: the one that was here already, or the header's.
-flow_entry* record_of_deposit(step_context& step, const packet_in_hand& hand,
-                              std::uint32_t backend_slot)
-{
-    core_state& state = step.state;
-    flow_entry* entry = find_record(state, hand.key);
-    if (entry == nullptr)
-    {
-        ++state.counters[counter::records_taken];
-        return &add_record(step, hand.key, hand.service_slot, backend_slot);
-    }
-    if (entry->backend_slot == backend_slot)
-    {
-        const bool over = entry->phase != flow_phase::open;
-        if (over && hand.packet.role == packet_role::opening)
-        {
-            change_phase(state, *entry, flow_phase::open);
-        }
-        return entry;
-    }
-    const bool opening = hand.packet.role == packet_role::opening;
-    if (opening && judge_reuse(step, hand, *entry) != reuse::keep)
-    {
-        return &add_record(step, hand.key, hand.service_slot, backend_slot);
-    }
-    ++state.counters[counter::choices_overridden];
-    return entry;
-}
-
-void finish_deposit(step_context& step, const packet_in_hand& hand, const relay_header& header,
-                    flow_entry& entry)
-{
-    send_to_backend(step, entry.backend_slot, hand.packet);
-    const bool overridden = step.state.known.backends[entry.backend_slot].id != header.backend;
-    if (header.wants_confirmation || overridden)
-    {
-        queue_hint(step, header.coordinator, entry);
-    }
-    const bool worth = entry.passes >= passes_before_hint;
-    if (worth && header.ingress != header.coordinator && hand.packet.role == packet_role::middle)
-    {
-        queue_hint(step, header.ingress, entry);
-    }
-}
-
-void take_deposit(step_context& step, packet_in_hand& hand, const relay_header& header)
-{
-    core_state& state = step.state;
-    const std::uint32_t named =
-        learn_backend(state.known, header.backend, hand.service_slot, header.backend_packets);
-    if (state.known.backends[named].service_slot != hand.service_slot)
-    {
-        // A backend server of another service: never send there.
-        ++state.counters[counter::dropped_unknown_backend];
-        return;
-    }
-    flow_entry& entry = *record_of_deposit(step, hand, named);
-    note_packet(step, entry, hand.packet);
-    entry.passes += entry.passes < 255 ? 1 : 0;
-    entry.refreshed = stamp_of(step.now);
-    entry.confirmed = true;
-    entry.partner_slot = host_slot(state, header.coordinator);
-    if (header.path.empty())
-    {
-        finish_deposit(step, hand, header, entry);
-        return;
-    }
-    relay_header onward = header;
-    onward.hops = static_cast<std::uint8_t>(hand.hops + 1);
-    onward.backend = state.known.backends[entry.backend_slot].id;
-    onward.backend_packets = state.known.backends[entry.backend_slot].packets;
-    pass_along(step, onward, hand);
-}
-
 void take_search(step_context& step, packet_in_hand& hand, const relay_header& header)
 {
     core_state& state = step.state;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -63,6 +63,8 @@
 constexpr millis racing_span{5'000};
 // A leaving host passes packets on for at least this long.
 constexpr millis leave_linger{5'000};
+// After a cut, records made without a grant look this far back for ones made with a grant.
+constexpr millis settling_span{120'000};
 // Searches that a host starts. Unit: searches per second.
 constexpr std::int64_t searches_per_second = 2'000;
 // Bytes of record batches that a host sends. Unit: bytes per second.
@@ -181,6 +183,13 @@
     std::vector<moving_batch> moving;
 };
 
+// One start of another host.
+struct host_slot_entry
+{
+    host_id id = host_id::none;
+    std::uint64_t incarnation = 0;
+};
+
 // All state of a host.
 struct core_state
 {
@@ -197,7 +206,10 @@
     std::unordered_map<std::uint64_t, host_id> host_by_packets;
     std::int64_t search_tokens = searches_per_second;
     millis search_tokens_since;
-    std::vector<host_id> host_slots;
+    // Hosts by slot. A host that was started again has a new slot: it has lost its records.
+    std::vector<host_slot_entry> host_slots;
+    std::unordered_map<host_id, std::uint16_t> slot_of_host;
+    std::size_t reused_host_slots = 0;
     // By host slot.
     std::vector<hint_queue> hint_queues;
     std::int64_t hint_tokens = 0;
--- /dev/null
+++ b/src/core/deposit.cpp
@@ -0,0 +1,191 @@
+// Deposits: how a record travels to the other keepers inside the flow's own packets, and which of
+// two records stays.
+#include <algorithm>
+
+#include "core/step_parts.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+// The ingress is told where a flow goes from this many passes on; short flows are not worth it.
+constexpr std::uint8_t passes_before_hint = 3;
+// A choice this young is under way to its backend server.
+constexpr millis fresh_choice_span{1'000};
+// A confirmation this old is asked for again.
+constexpr millis refresh_after{4'000};
+
+// True when a record has to give way to a deposit with another backend server. Of two mere choices
+// every host prefers the same one, whichever it saw first.
+bool is_outranked(const core_state& state, const flow_entry& entry, const relay_header& header)
+{
+    if (entry.barred)
+    {
+        return true;
+    }
+    const bool sent = entry.rank >= flow_rank::provisional_opened;
+    if (entry.rank != header.rank || sent)
+    {
+        return header.rank > entry.rank;
+    }
+    const backend_id chosen = state.known.backends[entry.backend_slot].id;
+    const auto score = [&entry](backend_id backend)
+    { return mix(entry.key.low, static_cast<std::uint64_t>(backend)); };
+    return score(header.backend) > score(chosen);
+}
+
+// The record that a deposit leaves here: the one that was here already, or the header's.
+flow_entry* record_of_deposit(step_context& step, const packet_in_hand& hand,
+                              const relay_header& header, std::uint32_t backend_slot)
+{
+    core_state& state = step.state;
+    flow_entry* entry = find_record(state, hand.key);
+    if (entry == nullptr)
+    {
+        ++state.counters[counter::records_taken];
+        flow_entry& added = add_record(step, hand.key, hand.service_slot, backend_slot);
+        added.rank = header.rank;
+        return &added;
+    }
+    if (entry->backend_slot == backend_slot)
+    {
+        entry->rank = std::max(entry->rank, header.rank);
+        const bool over = entry->phase != flow_phase::open;
+        if (over && hand.packet.role == packet_role::opening)
+        {
+            change_phase(state, *entry, flow_phase::open);
+        }
+        return entry;
+    }
+    const bool opening = hand.packet.role == packet_role::opening;
+    const bool outlived = opening && judge_reuse(step, hand, *entry) != reuse::keep;
+    if (outlived || is_outranked(state, *entry, header))
+    {
+        flow_entry& replaced = add_record(step, hand.key, hand.service_slot, backend_slot);
+        replaced.rank = header.rank;
+        return &replaced;
+    }
+    ++state.counters[counter::choices_overridden];
+    return entry;
+}
+
+void finish_deposit(step_context& step, const packet_in_hand& hand, const relay_header& header,
+                    flow_entry& entry)
+{
+    entry.rank = raise_rank(entry.rank, flow_rank::opened);
+    send_to_backend(step, entry.backend_slot, hand.packet);
+    const bool overridden = step.state.known.backends[entry.backend_slot].id != header.backend;
+    if (header.wants_confirmation || overridden)
+    {
+        queue_hint(step, header.coordinator, entry);
+    }
+    const bool worth = entry.passes >= passes_before_hint;
+    if (worth && header.ingress != header.coordinator && hand.packet.role == packet_role::middle)
+    {
+        queue_hint(step, header.ingress, entry);
+    }
+}
+
+} // namespace
+
+flow_entry* find_record(core_state& state, const flow_key& key)
+{
+    flow_entry* entry = state.flows.find(key);
+    const bool is_record = entry != nullptr && entry->role == flow_role::record;
+    return is_record ? entry : nullptr;
+}
+
+reuse judge_reuse(const step_context& step, const packet_in_hand& hand, const flow_entry& entry)
+{
+    const backend_runtime& backend = step.state.known.backends[entry.backend_slot];
+    const bool same_service = entry.service_slot == hand.service_slot;
+    const bool young = since(entry.created, step.now) < racing_span;
+    if (same_service && (backend.takes_flows || (young && entry.phase == flow_phase::open)))
+    {
+        return reuse::keep;
+    }
+    // The old backend server gets no new work. Hints to it may be left for a while.
+    const bool hints_gone = since(entry.last_seen, step.now) >= hint_lifetime;
+    return hints_gone ? reuse::replace : reuse::drop;
+}
+
+bool needs_settling(const core_state& state, const flow_entry& entry, const packet_view& packet,
+                    millis now)
+{
+    if (is_provisional(entry.rank))
+    {
+        return has_grant(state.hosts, now);
+    }
+    const bool trouble = now - state.hosts.last_trouble < settling_span;
+    if (packet.role == packet_role::opening)
+    {
+        const bool fresh = since(entry.created, now) < fresh_choice_span;
+        return entry.rank < flow_rank::opened && !fresh;
+    }
+    // While hosts could not reach each other, the caller may have gone on with another choice.
+    const bool datagram = packet.tuple.protocol == transport::udp;
+    const flow_rank sure = trouble && !datagram ? flow_rank::established : flow_rank::opened;
+    return entry.rank < sure;
+}
+
+void send_through_keepers(step_context& step, const packet_in_hand& hand, flow_entry& entry)
+{
+    entry.passes += entry.passes < 255 ? 1 : 0;
+    const bool settles = needs_settling(step.state, entry, hand.packet, step.now);
+    const host_path chain =
+        chain_of(step, hand.service_slot, settles ? settling_span : overlap_span);
+    if (chain.empty())
+    {
+        entry.confirmed = true;
+        entry.rank = raise_rank(entry.rank, flow_rank::opened);
+        entry.partner_slot = no_host_slot;
+        entry.refreshed = stamp_of(step.now);
+        send_to_backend(step, entry.backend_slot, hand.packet);
+        return;
+    }
+    const backend_runtime& backend = step.state.known.backends[entry.backend_slot];
+    relay_header header = make_header(step, hand, relay_kind::deposit);
+    header.coordinator = step.state.hosts.self.id;
+    const bool stale = since(entry.refreshed, step.now) >= refresh_after;
+    header.wants_confirmation = stale || !is_confirmed(step.state, entry);
+    header.rank = entry.rank;
+    header.service = step.state.known.services[entry.service_slot].id;
+    header.backend = backend.id;
+    header.backend_packets = backend.packets;
+    header.path = chain;
+    pass_along(step, header, hand);
+}
+
+void take_deposit(step_context& step, packet_in_hand& hand, const relay_header& header)
+{
+    core_state& state = step.state;
+    const std::uint32_t named =
+        learn_backend(state.known, header.backend, hand.service_slot, header.backend_packets);
+    if (state.known.backends[named].service_slot != hand.service_slot)
+    {
+        // A backend server of another service: never send there.
+        ++state.counters[counter::dropped_unknown_backend];
+        return;
+    }
+    flow_entry& entry = *record_of_deposit(step, hand, header, named);
+    note_packet(step, entry, hand.packet);
+    entry.passes += entry.passes < 255 ? 1 : 0;
+    entry.refreshed = stamp_of(step.now);
+    entry.confirmed = true;
+    entry.partner_slot = host_slot(state, header.coordinator);
+    if (header.path.empty())
+    {
+        finish_deposit(step, hand, header, entry);
+        return;
+    }
+    relay_header onward = header;
+    onward.hops = static_cast<std::uint8_t>(hand.hops + 1);
+    onward.rank = entry.rank;
+    onward.backend = state.known.backends[entry.backend_slot].id;
+    onward.backend_packets = state.known.backends[entry.backend_slot].packets;
+    pass_along(step, onward, hand);
+}
+
+} // namespace briarbarrow
--- a/src/core/encapsulation.cpp
+++ b/src/core/encapsulation.cpp
@@ -26,6 +26,25 @@
 
 static_assert(relay_fixed_bytes + max_path_hosts * host_bytes <= max_extension_bytes);
 
+// The byte of the hints: their number in the low two bits, then three bits for each one's rank.
+constexpr std::uint8_t hint_count_mask = 0x03;
+constexpr std::uint8_t rank_mask = 0x07;
+
+constexpr unsigned rank_shift(std::size_t hint_index)
+{
+    return 2U + 3U * static_cast<unsigned>(hint_index);
+}
+
+std::uint8_t hint_byte(const hint_list& hints)
+{
+    auto byte = static_cast<unsigned>(hints.size());
+    for (std::size_t i = 0; i < hints.size(); ++i)
+    {
+        byte |= static_cast<unsigned>(hints[i].rank) << rank_shift(i);
+    }
+    return static_cast<std::uint8_t>(byte);
+}
+
 std::uint8_t protocol_of(std::span<const std::uint8_t> packet)
 {
     return packet.front() >> 4U == 6 ? protocol_v6 : protocol_v4;
@@ -67,12 +86,13 @@
     {
         return frame_fault::wrong_format;
     }
-    if (bytes[1] >= relay_kind_names.size())
+    const bool known_rank = bytes[55] <= static_cast<std::uint8_t>(flow_rank::established);
+    if (bytes[1] >= relay_kind_names.size() || !known_rank)
     {
         return frame_fault::unknown_kind;
     }
     const std::size_t path_length = bytes[3];
-    const std::size_t hint_count = bytes[54];
+    const std::size_t hint_count = bytes[54] & hint_count_mask;
     const std::size_t hints_at = relay_fixed_bytes + path_length * host_bytes;
     const bool fits = path_length <= max_path_hosts && hint_count <= max_riding_hints &&
                       bytes.size() == hints_at + hint_count * hint_bytes;
@@ -84,6 +104,7 @@
     header.kind = static_cast<relay_kind>(bytes[1]);
     header.wants_confirmation = (bytes[2] & flag_wants_confirmation) != 0;
     header.search_complete = (bytes[2] & flag_search_complete) != 0;
+    header.rank = static_cast<flow_rank>(bytes[55]);
     header.hops = bytes[2] & hops_mask;
     header.ingress = host_id{read_u64(bytes, 4)};
     header.coordinator = host_id{read_u64(bytes, 12)};
@@ -99,7 +120,13 @@
     {
         const std::size_t at = hints_at + i * hint_bytes;
         const flow_key key{read_u64(bytes, at), read_u64(bytes, at + 8)};
-        header.hints.push_back(hint{key, backend_id{read_u64(bytes, at + 16)}});
+        const auto rank = static_cast<std::uint8_t>((bytes[54] >> rank_shift(i)) & rank_mask);
+        if (rank > static_cast<std::uint8_t>(flow_rank::established))
+        {
+            return frame_fault::unknown_kind;
+        }
+        const backend_id backend{read_u64(bytes, at + 16)};
+        header.hints.push_back(hint{key, backend, static_cast<flow_rank>(rank)});
     }
     return header;
 }
@@ -191,8 +218,8 @@
     const auto& address = header.backend_packets.address.bytes;
     out.insert(out.end(), address.begin(), address.end());
     append_u16(out, header.backend_packets.port);
-    out.push_back(static_cast<std::uint8_t>(header.hints.size()));
-    out.push_back(0);
+    out.push_back(hint_byte(header.hints));
+    out.push_back(static_cast<std::uint8_t>(header.rank));
     for (const host_id host : header.path)
     {
         append_u64(out, static_cast<std::uint64_t>(host));
--- a/src/core/encapsulation.hpp
+++ b/src/core/encapsulation.hpp
@@ -9,7 +9,7 @@
 //
 // Relay extension, big-endian: format (1 byte), kind (1), flags and hops (1), path length (1),
 // ingress host (8), coordinator (8), service (8), backend server (8), its address (16), its port
-// (2), number of hints (1), padding (1), path (8 for each host), hints (24 each).
+// (2), number of hints and their ranks (1), rank (1), path (8 for each host), hints (24 each).
 //
 // Hints tell the receiver where the packets of other flows go. They ride on packets that go its
 // way anyhow, so that they cost no datagrams.
@@ -26,6 +26,7 @@
 
 #include "core/address.hpp"
 #include "core/flow_key.hpp"
+#include "core/flow_table.hpp"
 #include "core/ids.hpp"
 #include "core/result.hpp"
 
@@ -59,6 +60,7 @@
 {
     flow_key key;
     backend_id backend = backend_id::none;
+    flow_rank rank = flow_rank::opened;
 
     friend bool operator==(const hint&, const hint&) = default;
 };
@@ -75,6 +77,8 @@
     std::uint8_t hops = 0;
     // The coordinator wants to be told where the packet ended.
     bool wants_confirmation = false;
+    // How sure the sender is of the backend server.
+    flow_rank rank = flow_rank::choice;
     // The path holds every host that could know the flow.
     bool search_complete = false;
     host_id ingress = host_id::none;
--- a/src/core/fast_path.cpp
+++ b/src/core/fast_path.cpp
@@ -11,7 +11,9 @@
 bool is_usable(core_state& state, const flow_entry& entry, const packet_view& packet, millis now)
 {
     const bool fresh = since(entry.refreshed, now) < hint_lifetime;
-    if (packet.role != packet_role::middle || !fresh)
+    // A choice made during a cut is settled with the other side once it is reached again.
+    const bool unsettled = is_provisional(entry.rank) && has_grant(state.hosts, now);
+    if (packet.role != packet_role::middle || !fresh || unsettled)
     {
         return false;
     }
@@ -20,7 +22,7 @@
         return true;
     }
     // A record must be with its other keeper of today, or the packet has to take it there.
-    return is_confirmed(state, entry);
+    return is_confirmed(state, entry) && !needs_settling(state, entry, packet, now);
 }
 
 void forward_to_primary(step_context& step, const packet_in_hand& hand, host_id primary)
--- a/src/core/flow_table.hpp
+++ b/src/core/flow_table.hpp
@@ -40,6 +40,34 @@
     ended
 };
 
+// How sure it is that an entry names the flow's backend server. When hosts hold different entries
+// for one flow, the higher rank stays. Provisional ones were chosen without a grant.
+enum class flow_rank : std::uint8_t
+{
+    // Chosen; it is not known whether a packet was sent by it.
+    provisional_choice,
+    choice,
+    // The opening packet went to the backend server.
+    provisional_opened,
+    opened,
+    // The caller went on after the opening, so it has the backend server's answer.
+    provisional_established,
+    established
+};
+
+constexpr bool is_provisional(flow_rank rank)
+{
+    return static_cast<std::uint8_t>(rank) % 2 == 0;
+}
+
+// The rank for a new degree of certainty; a choice without a grant stays one.
+constexpr flow_rank raise_rank(flow_rank rank, flow_rank certain)
+{
+    const auto wanted = static_cast<std::uint8_t>(certain);
+    const auto raised = static_cast<flow_rank>(is_provisional(rank) ? wanted - 1 : wanted);
+    return raised > rank ? raised : rank;
+}
+
 // A flow as one host knows it. Slots are this host's own small numbers for services, backend
 // servers and hosts. Times are the low 32 bits of the host's clock, in milliseconds.
 struct flow_entry
@@ -54,8 +82,11 @@
     std::uint8_t passes = 0;
     flow_role role : 2 = flow_role::vacant;
     flow_phase phase : 2 = flow_phase::open;
+    // True for a flow that must not be placed, since its record may be lost. Has no backend server.
+    bool barred : 1 = false;
     // True once the other keeper is known to have the record.
     bool confirmed : 1 = false;
+    flow_rank rank : 3 = flow_rank::choice;
 };
 
 // Time since a stamp that was cut to 32 bits. Right for spans below 24 days.
--- a/src/core/hints.cpp
+++ b/src/core/hints.cpp
@@ -59,7 +59,8 @@
     {
         waiting.erase(waiting.begin());
     }
-    waiting.push_back(hint{entry.key, step.state.known.backends[entry.backend_slot].id});
+    const backend_id backend = step.state.known.backends[entry.backend_slot].id;
+    waiting.push_back(hint{entry.key, backend, entry.rank});
 }
 
 void load_hints(core_state& state, host_id to, relay_header& header)
@@ -93,7 +94,7 @@
         const auto first = waiting.end() - static_cast<std::ptrdiff_t>(count);
         const hints message{std::vector<hint>(first, waiting.end())};
         waiting.clear();
-        send_control(step, state.host_slots[slot], control_kind::hints, encode_message(message));
+        send_control(step, state.host_slots[slot].id, control_kind::hints, encode_message(message));
         state.counters[counter::hints_sent] += count;
     }
 }
@@ -114,6 +115,9 @@
         entry = &state.flows.insert(told.key);
         entry->created = stamp_of(step.now);
     }
+    // The hint comes from the end of a chain, where every other choice has been weighed.
+    entry->rank = told.rank;
+    entry->barred = false;
     if (entry->backend_slot != *backend_slot || entry->role == flow_role::hint)
     {
         change_backend(state, *entry, *backend_slot);
--- a/src/core/keepers.cpp
+++ b/src/core/keepers.cpp
@@ -68,7 +68,7 @@
 
 view_host make_view_host(const host_info& info, bool eligible)
 {
-    return view_host{info.id, hash_name(info.zone), eligible};
+    return view_host{info.id, hash_name(info.zone), info.incarnation, eligible};
 }
 
 std::vector<view_host> current_hosts(const membership& hosts, millis now)
--- a/src/core/keepers.hpp
+++ b/src/core/keepers.hpp
@@ -37,6 +37,7 @@
 {
     host_id id = host_id::none;
     std::uint64_t zone = 0;
+    std::uint64_t incarnation = 0;
     // False for a host that was counted out lately: it is ranked, then passed over.
     bool eligible = false;
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -146,7 +146,9 @@
 
 bool update_suspicion(membership& self, host_id id, member& other, millis now)
 {
-    const bool silent = now - other.heard > suspect_after;
+    const millis heard_us = std::max(other.proven, other.state_since);
+    const bool deaf = now - heard_us > deaf_after;
+    const bool silent = now - other.heard > suspect_after || deaf;
     const bool suspect = silent && is_present(other.state) && watches(self, id);
     if (suspect == other.suspected)
     {
@@ -203,7 +205,9 @@
         return now - entry.second.heard <= suspect_after;
     };
     const bool any_heard = std::any_of(self.others.begin(), self.others.end(), is_heard);
-    const millis wait = any_heard || self.others.empty() ? join_after : join_alone_after;
+    // One that hears others but is not heard by them waits as long as one that is alone.
+    const bool settled = (any_heard && has_grant(self, now)) || self.others.empty();
+    const millis wait = settled ? join_after : join_alone_after;
     if (now - self.state_since >= wait)
     {
         set_own_state(self, host_state::live, now,
@@ -259,6 +263,17 @@
                                               "are proven to hear it");
 }
 
+void note_trouble(membership& self, millis now)
+{
+    const auto is_lost = [](const auto& entry)
+    { return entry.second.suspected || entry.second.state == host_state::gone; };
+    const bool lost = std::any_of(self.others.begin(), self.others.end(), is_lost);
+    if (lost || !self.granted)
+    {
+        self.last_trouble = now;
+    }
+}
+
 void take_suspicions(membership& self, host_id sender, const heartbeat& beat, millis now)
 {
     for (const suspicion& voiced : beat.suspicions)
@@ -394,6 +409,7 @@
         count_out_if_agreed(self, id, other, now);
     }
     update_grant(self, now);
+    note_trouble(self, now);
     if (news || now >= self.next_heartbeat)
     {
         send_heartbeats(self, now);
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -5,7 +5,8 @@
 // domain. A host and its monitors exchange heartbeats; each heartbeat echoes the newest sequence
 // number received, so that the sender learns how long ago it was surely heard.
 //
-// A monitor that has heard nothing for `suspect_after` says so in its heartbeats. A host is
+// A monitor that has heard nothing for `suspect_after`, or was not heard for `deaf_after`, says so
+// in its heartbeats. A host is
 // counted out (`gone`) once a majority of its monitors suspects it, never by one alone.
 //
 // A host holds a *grant* while enough of its monitors were proven to hear it within the last
@@ -40,6 +41,8 @@
 constexpr millis heartbeat_interval{200};
 constexpr millis suspect_after{650};
 constexpr millis grant_span{600};
+// A host whose heartbeats come but which has not heard ours for this long is as good as silent.
+constexpr millis deaf_after{1'300};
 constexpr millis join_after{1'500};
 constexpr millis join_alone_after{3'000};
 constexpr millis cut_off_after{3'000};
@@ -108,6 +111,8 @@
     bool granted = true;
     // Grows whenever the set of hosts that can be keepers may have changed.
     std::uint64_t changes = 0;
+    // When a host was last found to be out of reach, or this one without a grant.
+    millis last_trouble{-1'000'000};
     membership_output output;
 };
 
--- a/src/core/messages.cpp
+++ b/src/core/messages.cpp
@@ -8,63 +8,65 @@
 {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
 {
-    namespace adaptor
-    {
+namespace adaptor
+{
 
-    template <>
-    struct convert<briarbarrow::ip_address>
+template <>
+struct convert<briarbarrow::ip_address>
+{
+    const msgpack::object& operator()(const msgpack::object& o, briarbarrow::ip_address& v) const
     {
-        const msgpack::object& operator()(const msgpack::object& o,
-                                          briarbarrow::ip_address& v) const
+        if (o.type != msgpack::type::BIN || o.via.bin.size != v.bytes.size())
         {
-            if (o.type != msgpack::type::BIN || o.via.bin.size != v.bytes.size())
-            {
-                throw msgpack::type_error();
-            }
-            std::copy_n(o.via.bin.ptr, v.bytes.size(), v.bytes.begin());
-            return o;
+            throw msgpack::type_error();
         }
-    };
+        std::copy_n(o.via.bin.ptr, v.bytes.size(), v.bytes.begin());
+        return o;
+    }
+};
 
-    template <>
-    struct pack<briarbarrow::ip_address>
+template <>
+struct pack<briarbarrow::ip_address>
+{
+    template <typename Stream>
+    msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& o,
+                                        const briarbarrow::ip_address& v) const
     {
-        template <typename Stream>
-        msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& o,
-                                            const briarbarrow::ip_address& v) const
-        {
-            o.pack_bin(static_cast<std::uint32_t>(v.bytes.size()));
-            o.pack_bin_body(reinterpret_cast<const char*>(v.bytes.data()), v.bytes.size());
-            return o;
-        }
-    };
+        o.pack_bin(static_cast<std::uint32_t>(v.bytes.size()));
+        o.pack_bin_body(reinterpret_cast<const char*>(v.bytes.data()), v.bytes.size());
+        return o;
+    }
+};
 
-    template <>
-    struct convert<briarbarrow::host_state>
-    {
-        const msgpack::object& operator()(const msgpack::object& o,
-                                          briarbarrow::host_state& v) const
-        {
-            const auto raw = o.as<std::uint8_t>();
-            if (raw >= briarbarrow::host_state_names.size())
-            {
-                throw msgpack::type_error();
-            }
-            v = static_cast<briarbarrow::host_state>(raw);
-            return o;
-        }
+// Enumerations travel as small integers; those past the last value are refused.
+#define BRIARBARROW_PACK_ENUM(TYPE, LAST)                                                          \
+    template <>                                                                                    \
+    struct convert<TYPE>                                                                           \
+    {                                                                                              \
+        const msgpack::object& operator()(const msgpack::object& o, TYPE& v) const                 \
+        {                                                                                          \
+            const auto raw = o.as<std::uint8_t>();                                                 \
+            if (raw > static_cast<std::uint8_t>(LAST))                                             \
+            {                                                                                      \
+                throw msgpack::type_error();                                                       \
+            }                                                                                      \
+            v = static_cast<TYPE>(raw);                                                            \
+            return o;                                                                              \
+        }                                                                                          \
+    };                                                                                             \
+    template <>                                                                                    \
+    struct pack<TYPE>                                                                              \
+    {                                                                                              \
+        template <typename Stream>                                                                 \
+        msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& o, TYPE v) const              \
+        {                                                                                          \
+            return o.pack(static_cast<std::uint8_t>(v));                                           \
+        }                                                                                          \
     };
 
-    template <>
-    struct pack<briarbarrow::host_state>
-    {
-        template <typename Stream>
-        msgpack::packer<Stream>& operator()(msgpack::packer<Stream>& o,
-                                            briarbarrow::host_state v) const
-        {
-            return o.pack(static_cast<std::uint8_t>(v));
-        }
-    };
+BRIARBARROW_PACK_ENUM(briarbarrow::host_state, briarbarrow::host_state::left)
+BRIARBARROW_PACK_ENUM(briarbarrow::flow_rank, briarbarrow::flow_rank::established)
+#undef BRIARBARROW_PACK_ENUM
 
 // Identifiers travel as unsigned integers.
 #define BRIARBARROW_PACK_ID(TYPE)                                                                  \
@@ -87,9 +89,9 @@
         }                                                                                          \
     };
 
-    BRIARBARROW_PACK_ID(briarbarrow::host_id)
-    BRIARBARROW_PACK_ID(briarbarrow::service_id)
-    BRIARBARROW_PACK_ID(briarbarrow::backend_id)
+BRIARBARROW_PACK_ID(briarbarrow::host_id)
+BRIARBARROW_PACK_ID(briarbarrow::service_id)
+BRIARBARROW_PACK_ID(briarbarrow::backend_id)
 #undef BRIARBARROW_PACK_ID
 
 // A message travels as an array of its members. A missing or a surplus member is a type error.
@@ -114,53 +116,53 @@
         }                                                                                          \
     };
 
-    template <typename Give>
-    void convert_members(const msgpack::object& o, Give give)
+template <typename Give>
+void convert_members(const msgpack::object& o, Give give)
+{
+    if (o.type != msgpack::type::ARRAY)
     {
-        if (o.type != msgpack::type::ARRAY)
+        throw msgpack::type_error();
+    }
+    give(
+        [&o](auto&... members)
         {
-            throw msgpack::type_error();
-        }
-        give(
-            [&o](auto&... members)
+            if (o.via.array.size != sizeof...(members))
             {
-                if (o.via.array.size != sizeof...(members))
-                {
-                    throw msgpack::type_error();
-                }
-                const msgpack::object* next = o.via.array.ptr;
-                (((next++)->convert(members)), ...);
-            });
-    }
+                throw msgpack::type_error();
+            }
+            const msgpack::object* next = o.via.array.ptr;
+            (((next++)->convert(members)), ...);
+        });
+}
 
-    template <typename Stream, typename... Members>
-    void pack_members(msgpack::packer<Stream>& o, const Members&... members)
-    {
-        o.pack_array(sizeof...(members));
-        (o.pack(members), ...);
-    }
+template <typename Stream, typename... Members>
+void pack_members(msgpack::packer<Stream>& o, const Members&... members)
+{
+    o.pack_array(sizeof...(members));
+    (o.pack(members), ...);
+}
 
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::endpoint, v.address, v.port)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::flow_key, v.high, v.low)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::suspicion, v.host, v.incarnation)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::heartbeat, v.incarnation, v.state, v.sequence, v.echo,
-                             v.revision, v.digest, v.hosts_digest, v.suspicions)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::hint, v.key, v.backend)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::hints, v.entries)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::moved_record, v.key, v.backend, v.phase, v.idle_ms)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::records, v.number, v.entries)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::records_taken, v.number)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::host_info, v.id, v.name, v.zone, v.packets, v.peers,
-                             v.operators, v.incarnation)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::told_host, v.info, v.state)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::hello, v.sender, v.state)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::host_list, v.hosts)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::configuration_request, v.held_revision)
-    BRIARBARROW_PACK_MEMBERS(briarbarrow::configuration_reply, v.text)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::endpoint, v.address, v.port)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::flow_key, v.high, v.low)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::suspicion, v.host, v.incarnation)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::heartbeat, v.incarnation, v.state, v.sequence, v.echo,
+                         v.revision, v.digest, v.hosts_digest, v.suspicions)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::hint, v.key, v.backend, v.rank)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::hints, v.entries)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::moved_record, v.key, v.backend, v.rank, v.phase, v.idle_ms)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::records, v.number, v.entries)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::records_taken, v.number)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::host_info, v.id, v.name, v.zone, v.packets, v.peers,
+                         v.operators, v.incarnation)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::told_host, v.info, v.state)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::hello, v.sender, v.state)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::host_list, v.hosts)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::configuration_request, v.held_revision)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::configuration_reply, v.text)
 #undef BRIARBARROW_PACK_MEMBERS
 
-    } // namespace adaptor
-} // MSGPACK_API_VERSION_NAMESPACE
+} // namespace adaptor
+} // MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
 } // namespace msgpack
 
 namespace briarbarrow
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -59,6 +59,7 @@
 {
     flow_key key;
     backend_id backend = backend_id::none;
+    flow_rank rank = flow_rank::choice;
     std::uint8_t phase = 0;
     // Time since the flow's last packet. Unit: milliseconds.
     std::uint32_t idle_ms = 0;
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -6,6 +6,8 @@
 namespace
 {
 
+constexpr std::size_t max_host_slot = 0xffff;
+
 bool is_counted(const flow_entry& entry)
 {
     // A caller that has sent FIN has, but for a few, what it wanted.
@@ -48,15 +50,33 @@
 
 std::uint16_t host_slot(core_state& state, host_id host)
 {
-    for (std::size_t slot = 0; slot < state.host_slots.size(); ++slot)
+    if (host == host_id::none)
+    {
+        return no_host_slot;
+    }
+    const auto known = state.hosts.others.find(host);
+    const std::uint64_t incarnation =
+        known == state.hosts.others.end() ? 0 : known->second.info.incarnation;
+    const auto found = state.slot_of_host.find(host);
+    if (found != state.slot_of_host.end() &&
+        state.host_slots[found->second].incarnation == incarnation)
+    {
+        return found->second;
+    }
+    std::size_t slot = state.host_slots.size();
+    if (slot > max_host_slot)
     {
-        if (state.host_slots[slot] == host)
-        {
-            return static_cast<std::uint16_t>(slot);
-        }
+        // So many starts ago that no entry refers to the first ones any more.
+        slot = 1 + state.reused_host_slots++ % max_host_slot;
+        state.host_slots[slot] = {};
     }
-    state.host_slots.push_back(host);
-    return static_cast<std::uint16_t>(state.host_slots.size() - 1);
+    else
+    {
+        state.host_slots.emplace_back();
+    }
+    state.host_slots[slot] = host_slot_entry{host, incarnation};
+    state.slot_of_host[host] = static_cast<std::uint16_t>(slot);
+    return static_cast<std::uint16_t>(slot);
 }
 
 flow_entry& add_record(step_context& step, const flow_key& key, std::uint32_t service_slot,
@@ -124,6 +144,10 @@
 void note_packet(step_context& step, flow_entry& entry, const packet_view& packet)
 {
     entry.last_seen = stamp_of(step.now);
+    if (packet.role == packet_role::middle)
+    {
+        entry.rank = raise_rank(entry.rank, flow_rank::established);
+    }
     if (packet.is_reset)
     {
         change_phase(step.state, entry, flow_phase::ended);
--- a/src/core/step.cpp
+++ b/src/core/step.cpp
@@ -263,7 +263,7 @@
 void start_core(core_state& state, const core_settings& settings, millis now)
 {
     state.settings = settings;
-    state.host_slots = {host_id::none};
+    state.host_slots.assign(1, {});
     state.sweep.tokens_since = now;
     state.hint_tokens_since = now;
     start_membership(state.hosts, settings.self, now);
--- a/src/core/step_parts.hpp
+++ b/src/core/step_parts.hpp
@@ -89,6 +89,49 @@
 // records.cpp: notes on a record what a packet says about its flow.
 void note_packet(step_context& step, flow_entry& entry, const packet_view& packet);
 
+// paths.cpp: hosts that a packet visits before its backend server: the keepers of today, and
+// those of views that hosts may still have, or had within the horizon.
+host_path chain_of(step_context& step, std::uint32_t service_slot, millis horizon);
+
+// paths.cpp: the hosts that may know a flow which its coordinator does not.
+host_path search_path_of(step_context& step, std::uint32_t service_slot, millis horizon);
+
+// paths.cpp: true when no host that could know a flow is out of reach without being counted out.
+bool is_search_complete(const step_context& step);
+
+// paths.cpp: true when two keepers that may have held records of a service are both lost.
+bool lost_both_keepers(const step_context& step, std::uint32_t service_slot);
+
+// paths.cpp: sends a packet to the first host of a header's path.
+void pass_along(step_context& step, relay_header header, const packet_in_hand& hand);
+
+// paths.cpp: the header for passing a packet on to another host.
+relay_header make_header(const step_context& step, const packet_in_hand& hand, relay_kind kind);
+
+// deposit.cpp: sends a packet to a backend server through the other keepers.
+void send_through_keepers(step_context& step, const packet_in_hand& hand, flow_entry& entry);
+
+// deposit.cpp: takes the record that a packet carries, and passes the packet on.
+void take_deposit(step_context& step, packet_in_hand& hand, const relay_header& header);
+
+// deposit.cpp: true when another host may hold a better record of a flow than this one.
+bool needs_settling(const core_state& state, const flow_entry& entry, const packet_view& packet,
+                    millis now);
+
+// What is to become of an opening packet whose flow has a record already.
+enum class reuse : std::uint8_t
+{
+    keep,
+    replace,
+    drop
+};
+
+// deposit.cpp: judges an opening packet whose flow has a record.
+reuse judge_reuse(const step_context& step, const packet_in_hand& hand, const flow_entry& entry);
+
+// deposit.cpp: the record of a flow, or null.
+flow_entry* find_record(core_state& state, const flow_key& key);
+
 // send.cpp: sends a packet to a backend server.
 void send_to_backend(step_context& step, std::uint32_t backend_slot, const packet_view& packet);
 
--- a/src/core/sweep.cpp
+++ b/src/core/sweep.cpp
@@ -71,8 +71,10 @@
 bool is_kept_elsewhere(core_state& state, const flow_entry& entry)
 {
     const keeper_pair keepers = current_keepers(state, entry.service_slot);
-    const host_id partner = state.host_slots[entry.partner_slot];
-    return !is_keeper(keepers, state.hosts.self.id) && entry.confirmed &&
+    const host_id partner = state.host_slots[entry.partner_slot].id;
+    // A partner that was started again has another slot by now, and lost the record.
+    const bool same_start = host_slot(state, partner) == entry.partner_slot;
+    return !is_keeper(keepers, state.hosts.self.id) && entry.confirmed && same_start &&
            is_keeper(keepers, partner);
 }
 
@@ -133,6 +135,7 @@
     moved_record moved;
     moved.key = entry.key;
     moved.backend = backend.id;
+    moved.rank = entry.rank;
     moved.phase = static_cast<std::uint8_t>(entry.phase);
     moved.idle_ms = static_cast<std::uint32_t>(since(entry.last_seen, step.now).count);
     return moved;
@@ -249,7 +252,9 @@
         return false;
     }
     flow_entry* entry = state.flows.find(moved.key);
-    const bool have_record = entry != nullptr && entry->role == flow_role::record;
+    const bool is_record = entry != nullptr && entry->role == flow_role::record;
+    const bool outranked = is_record && entry->rank < moved.rank;
+    const bool have_record = is_record && !outranked;
     if (have_record && entry->backend_slot != *backend_slot)
     {
         // What is kept here goes before what is told.
@@ -259,6 +264,7 @@
     {
         const std::uint32_t service_slot = state.known.backends[*backend_slot].service_slot;
         entry = &add_record(step, moved.key, service_slot, *backend_slot);
+        entry->rank = moved.rank;
         change_phase(state, *entry, static_cast<flow_phase>(moved.phase));
         entry->last_seen = stamp_of(step.now - millis{moved.idle_ms});
         ++state.counters[counter::records_taken];
