Records stay spare until all keepers have settled; a stale record never outranks a new flow

Change: heartbeats say for which view the sender's records are all with both keepers; former keepers keep theirs until all have said so, and a leaving host waits for it. Deposits carry the flow's age: a record not heard of since then is of an earlier flow. Hosts that are asked on the way but are no keepers keep nothing.

--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -249,6 +249,10 @@
         return;
     }
     note_packet(step, *entry, hand.packet);
+    if (!needs_settling(step.state, *entry, hand.packet, step.now))
+    {
+        note_progress(*entry, hand.packet);
+    }
     send_through_keepers(step, hand, *entry);
 }
 
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -61,6 +61,9 @@
 constexpr millis quarantine_span{30'000};
 // A record this young may come from a choice made at the same time elsewhere.
 constexpr millis racing_span{5'000};
+// A host that is no keeper of a flow any more keeps its record at least this long where it does
+// not hear from all hosts that theirs are settled.
+constexpr millis spare_span{30'000};
 // A leaving host passes packets on for at least this long.
 constexpr millis leave_linger{5'000};
 // After a cut, records made without a grant look this far back for ones made with a grant.
@@ -176,11 +179,15 @@
     std::size_t next_segment = 0;
     std::size_t unmoved = 0;
     std::size_t unmoved_before = 1;
+    // Whole rounds since the newest view.
     std::uint64_t rounds = 0;
     std::int64_t record_tokens = 0;
     millis tokens_since;
     std::uint32_t next_batch = 1;
     std::vector<moving_batch> moving;
+    // The newest view in which every record of this host was found with both keepers; 0 for none.
+    std::uint32_t settled_view = 0;
+    bool others_settled = false;
 };
 
 // One start of another host.
--- a/src/core/deposit.cpp
+++ b/src/core/deposit.cpp
@@ -14,14 +14,19 @@
 constexpr std::uint8_t passes_before_hint = 3;
 // A choice this young is under way to its backend server.
 constexpr millis fresh_choice_span{1'000};
+// Two hosts' measures of one span may differ by this much.
+constexpr millis clock_tolerance{250};
 // A confirmation this old is asked for again.
 constexpr millis refresh_after{4'000};
 
 // True when a record has to give way to a deposit with another backend server. Of two mere choices
 // every host prefers the same one, whichever it saw first.
-bool is_outranked(const core_state& state, const flow_entry& entry, const relay_header& header)
+bool is_outranked(const step_context& step, const flow_entry& entry, const relay_header& header)
 {
-    if (entry.barred)
+    const core_state& state = step.state;
+    // Nothing was heard of it since the other flow began: it is of an earlier flow.
+    const bool outlived = since(entry.last_seen, step.now) > header.age + clock_tolerance;
+    if (entry.barred || outlived)
     {
         return true;
     }
@@ -36,12 +41,37 @@
     return score(header.backend) > score(chosen);
 }
 
+// True when this host is a keeper of a service, or may still be one in another host's view. Other
+// hosts on a packet's path only say what they know.
+bool keeps_records_of(step_context& step, std::uint32_t service_slot)
+{
+    core_state& state = step.state;
+    const host_id self = state.hosts.self.id;
+    if (is_keeper(current_keepers(state, service_slot), self))
+    {
+        return true;
+    }
+    const auto& views = state.views.views;
+    for (std::size_t i = 1; i < views.size() && step.now - views[i].superseded <= overlap_span; ++i)
+    {
+        if (is_keeper(keepers_in(views[i], state.known.services[service_slot].id), self))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 // The record that a deposit leaves here: the one that was here already, or the header's.
 flow_entry* record_of_deposit(step_context& step, const packet_in_hand& hand,
                               const relay_header& header, std::uint32_t backend_slot)
 {
     core_state& state = step.state;
     flow_entry* entry = find_record(state, hand.key);
+    if (entry == nullptr && !keeps_records_of(step, hand.service_slot))
+    {
+        return nullptr;
+    }
     if (entry == nullptr)
     {
         ++state.counters[counter::records_taken];
@@ -61,7 +91,7 @@
     }
     const bool opening = hand.packet.role == packet_role::opening;
     const bool outlived = opening && judge_reuse(step, hand, *entry) != reuse::keep;
-    if (outlived || is_outranked(state, *entry, header))
+    if (outlived || is_outranked(step, *entry, header))
     {
         flow_entry& replaced = add_record(step, hand.key, hand.service_slot, backend_slot);
         replaced.rank = header.rank;
@@ -71,10 +101,21 @@
     return entry;
 }
 
+void update_from_deposit(step_context& step, flow_entry& entry, const packet_in_hand& hand,
+                         const relay_header& header)
+{
+    note_packet(step, entry, hand.packet);
+    entry.passes += entry.passes < 255 ? 1 : 0;
+    entry.refreshed = stamp_of(step.now);
+    entry.confirmed = true;
+    entry.partner_slot = host_slot(step.state, header.coordinator);
+}
+
 void finish_deposit(step_context& step, const packet_in_hand& hand, const relay_header& header,
                     flow_entry& entry)
 {
     entry.rank = raise_rank(entry.rank, flow_rank::opened);
+    note_progress(entry, hand.packet);
     send_to_backend(step, entry.backend_slot, hand.packet);
     const bool overridden = step.state.known.backends[entry.backend_slot].id != header.backend;
     if (header.wants_confirmation || overridden)
@@ -151,6 +192,7 @@
     const bool stale = since(entry.refreshed, step.now) >= refresh_after;
     header.wants_confirmation = stale || !is_confirmed(step.state, entry);
     header.rank = entry.rank;
+    header.age = since(entry.created, step.now);
     header.service = step.state.known.services[entry.service_slot].id;
     header.backend = backend.id;
     header.backend_packets = backend.packets;
@@ -169,23 +211,33 @@
         ++state.counters[counter::dropped_unknown_backend];
         return;
     }
-    flow_entry& entry = *record_of_deposit(step, hand, header, named);
-    note_packet(step, entry, hand.packet);
-    entry.passes += entry.passes < 255 ? 1 : 0;
-    entry.refreshed = stamp_of(step.now);
-    entry.confirmed = true;
-    entry.partner_slot = host_slot(state, header.coordinator);
-    if (header.path.empty())
+    flow_entry* entry = record_of_deposit(step, hand, header, named);
+    relay_header onward = header;
+    onward.hops = static_cast<std::uint8_t>(hand.hops + 1);
+    if (entry != nullptr)
+    {
+        update_from_deposit(step, *entry, hand, header);
+        onward.rank = entry->rank;
+        onward.age = since(entry->created, step.now);
+        onward.backend = state.known.backends[entry->backend_slot].id;
+        onward.backend_packets = state.known.backends[entry->backend_slot].packets;
+    }
+    if (!header.path.empty())
     {
-        finish_deposit(step, hand, header, entry);
+        pass_along(step, onward, hand);
         return;
     }
-    relay_header onward = header;
-    onward.hops = static_cast<std::uint8_t>(hand.hops + 1);
-    onward.rank = entry.rank;
-    onward.backend = state.known.backends[entry.backend_slot].id;
-    onward.backend_packets = state.known.backends[entry.backend_slot].packets;
-    pass_along(step, onward, hand);
+    flow_entry passing;
+    if (entry == nullptr)
+    {
+        // The last host is no keeper: it passes the packet on and keeps nothing.
+        passing.key = hand.key;
+        passing.service_slot = hand.service_slot;
+        passing.backend_slot = named;
+        passing.rank = header.rank;
+        entry = &passing;
+    }
+    finish_deposit(step, hand, header, *entry);
 }
 
 } // namespace briarbarrow
--- a/src/core/encapsulation.cpp
+++ b/src/core/encapsulation.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::size_t base_bytes = 4;
 constexpr std::size_t word_bytes = 4;
-constexpr std::size_t relay_fixed_bytes = 56;
+constexpr std::size_t relay_fixed_bytes = 60;
 constexpr std::size_t host_bytes = 8;
 constexpr std::size_t hint_bytes = 24;
 constexpr std::size_t max_extension_bytes = 31 * word_bytes;
@@ -62,6 +62,13 @@
     out.insert(out.end(), raw.begin(), raw.end());
 }
 
+void append_u32(wire_buffer& out, std::uint32_t value)
+{
+    std::array<std::uint8_t, 4> raw{};
+    boost::endian::store_big_u32(raw.data(), value);
+    out.insert(out.end(), raw.begin(), raw.end());
+}
+
 void append_u16(wire_buffer& out, std::uint16_t value)
 {
     std::array<std::uint8_t, 2> raw{};
@@ -112,6 +119,7 @@
     header.backend = backend_id{read_u64(bytes, 28)};
     header.backend_packets.address = make_v6(bytes.data() + 36);
     header.backend_packets.port = boost::endian::load_big_u16(bytes.data() + 52);
+    header.age = millis{boost::endian::load_big_u32(bytes.data() + 56)};
     for (std::size_t i = 0; i < path_length; ++i)
     {
         header.path.push_back(host_id{read_u64(bytes, relay_fixed_bytes + i * host_bytes)});
@@ -220,6 +228,7 @@
     append_u16(out, header.backend_packets.port);
     out.push_back(hint_byte(header.hints));
     out.push_back(static_cast<std::uint8_t>(header.rank));
+    append_u32(out, static_cast<std::uint32_t>(header.age.count));
     for (const host_id host : header.path)
     {
         append_u64(out, static_cast<std::uint64_t>(host));
--- a/src/core/encapsulation.hpp
+++ b/src/core/encapsulation.hpp
@@ -9,7 +9,8 @@
 //
 // Relay extension, big-endian: format (1 byte), kind (1), flags and hops (1), path length (1),
 // ingress host (8), coordinator (8), service (8), backend server (8), its address (16), its port
-// (2), number of hints and their ranks (1), rank (1), path (8 for each host), hints (24 each).
+// (2), number of hints and their ranks (1), rank (1), age in milliseconds
+// (4), path (8 for each host), hints (24 each).
 //
 // Hints tell the receiver where the packets of other flows go. They ride on packets that go its
 // way anyhow, so that they cost no datagrams.
@@ -79,6 +80,8 @@
     bool wants_confirmation = false;
     // How sure the sender is of the backend server.
     flow_rank rank = flow_rank::choice;
+    // Time since the flow's opening, by the sender's record.
+    millis age;
     // The path holds every host that could know the flow.
     bool search_complete = false;
     host_id ingress = host_id::none;
--- a/src/core/fast_path.cpp
+++ b/src/core/fast_path.cpp
@@ -79,6 +79,7 @@
     if (entry != nullptr && is_usable(state, *entry, packet, step.now))
     {
         entry->last_seen = stamp_of(step.now);
+        note_progress(*entry, packet);
         send_to_backend(step, entry->backend_slot, packet);
         return;
     }
--- a/src/core/keepers.cpp
+++ b/src/core/keepers.cpp
@@ -116,7 +116,7 @@
     {
         history.views.front().superseded = now;
     }
-    history.views.push_front(view{history.next_number, millis{}, std::move(current)});
+    history.views.push_front(view{history.next_number, millis{}, now, std::move(current)});
     ++history.next_number;
     if (history.views.size() > max_views)
     {
@@ -125,6 +125,19 @@
     return true;
 }
 
+std::uint32_t digest_view(const view& hosts)
+{
+    std::uint64_t digest = 1;
+    for (const view_host& host : hosts.hosts)
+    {
+        if (host.eligible)
+        {
+            digest = mix(digest, mix(static_cast<std::uint64_t>(host.id), host.incarnation));
+        }
+    }
+    return static_cast<std::uint32_t>(digest) | 1U;
+}
+
 keeper_pair keepers_in(const view& hosts, service_id service)
 {
     std::vector<ranked_host> order = rank(hosts, service);
--- a/src/core/keepers.hpp
+++ b/src/core/keepers.hpp
@@ -50,6 +50,7 @@
     std::uint64_t number = 0;
     // When the next view took its place; unset for the current one.
     millis superseded;
+    millis since;
     std::vector<view_host> hosts;
 };
 
@@ -75,6 +76,9 @@
 // Brings the history up to date with the membership. Returns true when there is a new view.
 bool update_views(view_history& history, const membership& hosts, millis now);
 
+// Digest of the hosts of a view, to tell whether two hosts have the same one. Never 0.
+std::uint32_t digest_view(const view& hosts);
+
 // The keepers of a service in one view.
 keeper_pair keepers_in(const view& hosts, service_id service);
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -59,33 +59,9 @@
     ++self.changes;
 }
 
-// Hosts that heartbeats go to: those that watch us and those that we watch.
-std::vector<host_id> heartbeat_targets(const membership& self)
-{
-    std::vector<host_id> targets = monitors_of(self, self.self.id);
-    for (const auto& [id, other] : self.others)
-    {
-        const bool already = std::find(targets.begin(), targets.end(), id) != targets.end();
-        // A host that was counted out is still spoken to now and then, so that both sides of a cut
-        // find each other again.
-        const bool lost = other.state == host_state::gone && self.sequence % lost_interval == 0;
-        const bool worth = is_present(other.state) || other.state == host_state::unheard || lost;
-        if (already || !worth)
-        {
-            continue;
-        }
-        const auto monitors = monitors_of(self, id);
-        if (std::find(monitors.begin(), monitors.end(), self.self.id) != monitors.end())
-        {
-            targets.push_back(id);
-        }
-    }
-    return targets;
-}
-
 void tell_change(membership& self)
 {
-    const auto targets = heartbeat_targets(self);
+    const auto targets = heartbeat_partners(self);
     auto& lists = self.output.recent_lists;
     lists.insert(lists.end(), targets.begin(), targets.end());
 }
@@ -189,7 +165,7 @@
 {
     remember_sent(self, now);
     self.next_heartbeat = now + heartbeat_interval;
-    const auto targets = heartbeat_targets(self);
+    const auto targets = heartbeat_partners(self);
     auto& out = self.output.heartbeats;
     out.insert(out.end(), targets.begin(), targets.end());
 }
@@ -268,7 +244,8 @@
     const auto is_lost = [](const auto& entry)
     { return entry.second.suspected || entry.second.state == host_state::gone; };
     const bool lost = std::any_of(self.others.begin(), self.others.end(), is_lost);
-    if (lost || !self.granted)
+    const bool ungranted = !self.granted && self.state != host_state::joining;
+    if (lost || ungranted)
     {
         self.last_trouble = now;
     }
@@ -383,6 +360,7 @@
     {
         other.sequence_heard = beat.sequence;
     }
+    other.settled_view = beat.settled_view;
     take_echo(self, other, beat.echo);
     compute_grant_end(self);
     take_suspicions(self, sender, beat, now);
@@ -504,6 +482,29 @@
     return !found->second.suspected || now - found->second.suspected_since <= cut_off_after;
 }
 
+std::vector<host_id> heartbeat_partners(const membership& self)
+{
+    std::vector<host_id> targets = monitors_of(self, self.self.id);
+    for (const auto& [id, other] : self.others)
+    {
+        const bool already = std::find(targets.begin(), targets.end(), id) != targets.end();
+        // A host that was counted out is still spoken to now and then, so that both sides of a cut
+        // find each other again.
+        const bool lost = other.state == host_state::gone && self.sequence % lost_interval == 0;
+        const bool worth = is_present(other.state) || other.state == host_state::unheard || lost;
+        if (already || !worth)
+        {
+            continue;
+        }
+        const auto monitors = monitors_of(self, id);
+        if (std::find(monitors.begin(), monitors.end(), self.self.id) != monitors.end())
+        {
+            targets.push_back(id);
+        }
+    }
+    return targets;
+}
+
 heartbeat make_heartbeat(const membership& self, host_id receiver)
 {
     heartbeat beat;
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -71,6 +71,8 @@
     // When the newest of our heartbeats that it has echoed was sent.
     millis proven{-1'000'000};
     std::uint32_t sequence_heard = 0;
+    // The view for which it last said that all its records are with both keepers.
+    std::uint32_t settled_view = 0;
     bool suspected = false;
     millis suspected_since;
     millis list_sent{-1'000'000};
@@ -149,7 +151,10 @@
 // True when packets can be sent to a host with some hope.
 bool is_reachable(const membership& self, host_id host, millis now);
 
-// The heartbeat to send to a host now, without configuration fields.
+// Hosts that heartbeats go to and come from: those that watch this one and those it watches.
+std::vector<host_id> heartbeat_partners(const membership& self);
+
+// The heartbeat to send to a host now, without the fields that are not membership's.
 heartbeat make_heartbeat(const membership& self, host_id receiver);
 
 // All hosts, or only those whose state changed lately, this host included.
--- a/src/core/messages.cpp
+++ b/src/core/messages.cpp
@@ -146,10 +146,11 @@
 BRIARBARROW_PACK_MEMBERS(briarbarrow::flow_key, v.high, v.low)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::suspicion, v.host, v.incarnation)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::heartbeat, v.incarnation, v.state, v.sequence, v.echo,
-                         v.revision, v.digest, v.hosts_digest, v.suspicions)
+                         v.revision, v.digest, v.hosts_digest, v.settled_view, v.suspicions)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::hint, v.key, v.backend, v.rank)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::hints, v.entries)
-BRIARBARROW_PACK_MEMBERS(briarbarrow::moved_record, v.key, v.backend, v.rank, v.phase, v.idle_ms)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::moved_record, v.key, v.backend, v.rank, v.phase, v.idle_ms,
+                         v.age_ms)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::records, v.number, v.entries)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::records_taken, v.number)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::host_info, v.id, v.name, v.zone, v.packets, v.peers,
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -41,6 +41,8 @@
     std::uint32_t digest = 0;
     // Digest of the sender's list of hosts, to notice that lists differ.
     std::uint32_t hosts_digest = 0;
+    // Digest of the view in which every record of the sender is with both keepers; 0 while not.
+    std::uint32_t settled_view = 0;
     std::vector<suspicion> suspicions;
 
     friend bool operator==(const heartbeat&, const heartbeat&) = default;
@@ -63,6 +65,8 @@
     std::uint8_t phase = 0;
     // Time since the flow's last packet. Unit: milliseconds.
     std::uint32_t idle_ms = 0;
+    // Time since the flow's opening. Unit: milliseconds.
+    std::uint32_t age_ms = 0;
 
     friend bool operator==(const moved_record&, const moved_record&) = default;
 };
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -141,13 +141,17 @@
     entry.role = flow_role::hint;
 }
 
-void note_packet(step_context& step, flow_entry& entry, const packet_view& packet)
+void note_progress(flow_entry& entry, const packet_view& packet)
 {
-    entry.last_seen = stamp_of(step.now);
     if (packet.role == packet_role::middle)
     {
         entry.rank = raise_rank(entry.rank, flow_rank::established);
     }
+}
+
+void note_packet(step_context& step, flow_entry& entry, const packet_view& packet)
+{
+    entry.last_seen = stamp_of(step.now);
     if (packet.is_reset)
     {
         change_phase(step.state, entry, flow_phase::ended);
--- a/src/core/step.cpp
+++ b/src/core/step.cpp
@@ -170,6 +170,7 @@
         heartbeat beat = make_heartbeat(state.hosts, to);
         beat.revision = state.revision;
         beat.digest = state.digest;
+        beat.settled_view = state.sweep.settled_view;
         send_control(step, to, control_kind::heartbeat, encode_message(beat));
     }
     const auto send_list = [&step, &state](host_id to, bool only_recent)
@@ -199,8 +200,7 @@
     const bool lingered = now - state.hosts.state_since >= leave_linger;
     const bool others = !state.views.views.front().hosts.empty();
     return state.hosts.state == host_state::leaving && lingered &&
-           (!others || (state.sweep.rounds >= 2 && state.sweep.unmoved_before == 0 &&
-                        state.sweep.unmoved == 0));
+           (!others || (state.sweep.settled_view != 0 && state.sweep.others_settled));
 }
 
 void take_tick(step_context& step)
@@ -296,12 +296,14 @@
     else if (std::holds_alternative<leave_event>(happened))
     {
         begin_leaving(state.hosts, now);
-        // Only whole rounds after the decision count.
-        state.sweep.rounds = 0;
-        state.sweep.unmoved_before = 1;
     }
     const std::uint64_t changes_before = state.views.seen_changes;
-    update_views(state.views, state.hosts, now);
+    if (update_views(state.views, state.hosts, now))
+    {
+        state.sweep.rounds = 0;
+        state.sweep.settled_view = 0;
+        state.sweep.others_settled = false;
+    }
     if (changes_before != state.views.seen_changes)
     {
         index_hosts(state);
--- a/src/core/step_parts.hpp
+++ b/src/core/step_parts.hpp
@@ -89,6 +89,10 @@
 // records.cpp: notes on a record what a packet says about its flow.
 void note_packet(step_context& step, flow_entry& entry, const packet_view& packet);
 
+// records.cpp: notes that the caller went on with the backend server of a record. Only for a packet
+// whose record needs no settling any more.
+void note_progress(flow_entry& entry, const packet_view& packet);
+
 // paths.cpp: hosts that a packet visits before its backend server: the keepers of today, and
 // those of views that hosts may still have, or had within the horizon.
 host_path chain_of(step_context& step, std::uint32_t service_slot, millis horizon);
--- a/src/core/sweep.cpp
+++ b/src/core/sweep.cpp
@@ -136,6 +136,7 @@
     moved.key = entry.key;
     moved.backend = backend.id;
     moved.rank = entry.rank;
+    moved.age_ms = static_cast<std::uint32_t>(since(entry.created, step.now).count);
     moved.phase = static_cast<std::uint8_t>(entry.phase);
     moved.idle_ms = static_cast<std::uint32_t>(since(entry.last_seen, step.now).count);
     return moved;
@@ -146,7 +147,11 @@
     sweep_state& sweep = step.state.sweep;
     if (entry.role == flow_role::record && is_kept_elsewhere(step.state, entry))
     {
-        demote_record(step.state, entry);
+        // One keeper has it, but the other one may not yet: a spare until all have settled.
+        if (sweep.others_settled)
+        {
+            demote_record(step.state, entry);
+        }
         return;
     }
     if (!is_worth_moving(entry, step.now))
@@ -234,11 +239,44 @@
     }
 }
 
-void finish_round(sweep_state& sweep)
+void finish_round(step_context& step)
 {
+    sweep_state& sweep = step.state.sweep;
     ++sweep.rounds;
     sweep.unmoved_before = sweep.unmoved;
     sweep.unmoved = 0;
+    // A round that began before the newest view says nothing of it.
+    const bool settled = sweep.rounds >= 2 && sweep.unmoved_before == 0;
+    sweep.settled_view = settled ? digest_view(step.state.views.views.front()) : 0;
+}
+
+// True when all other hosts have said that their records are settled in this host's view, as far
+// as heartbeats come from them; where there are more, time has to do.
+bool are_others_settled(const step_context& step)
+{
+    const core_state& state = step.state;
+    const view& newest = state.views.views.front();
+    const std::uint32_t digest = digest_view(newest);
+    const auto partners = heartbeat_partners(state.hosts);
+    std::size_t heard = 0;
+    for (const host_id partner : partners)
+    {
+        const member& other = state.hosts.others.at(partner);
+        if (other.state != host_state::live)
+        {
+            continue;
+        }
+        ++heard;
+        if (other.settled_view != digest)
+        {
+            return false;
+        }
+    }
+    const auto is_eligible = [](const view_host& host) { return host.eligible; };
+    const auto eligible = std::count_if(newest.hosts.begin(), newest.hosts.end(), is_eligible);
+    const bool self_eligible = state.hosts.state == host_state::live;
+    const std::size_t others = static_cast<std::size_t>(eligible) - (self_eligible ? 1 : 0);
+    return heard >= others || step.now - newest.since >= spare_span;
 }
 
 // Takes one record. False when its backend server is not known here yet.
@@ -253,7 +291,8 @@
     }
     flow_entry* entry = state.flows.find(moved.key);
     const bool is_record = entry != nullptr && entry->role == flow_role::record;
-    const bool outranked = is_record && entry->rank < moved.rank;
+    const bool outlived = is_record && since(entry->last_seen, step.now).count > moved.age_ms;
+    const bool outranked = is_record && (outlived || entry->rank < moved.rank);
     const bool have_record = is_record && !outranked;
     if (have_record && entry->backend_slot != *backend_slot)
     {
@@ -266,6 +305,7 @@
         entry = &add_record(step, moved.key, service_slot, *backend_slot);
         entry->rank = moved.rank;
         change_phase(state, *entry, static_cast<flow_phase>(moved.phase));
+        entry->created = stamp_of(step.now - millis{moved.age_ms});
         entry->last_seen = stamp_of(step.now - millis{moved.idle_ms});
         ++state.counters[counter::records_taken];
     }
@@ -284,12 +324,6 @@
         return;
     }
     ++state.counters[counter::records_moved];
-    if (!is_keeper(current_keepers(state, entry->service_slot), state.hosts.self.id))
-    {
-        demote_record(state, *entry);
-        entry->refreshed = stamp_of(step.now);
-        return;
-    }
     entry->confirmed = true;
     entry->refreshed = stamp_of(step.now);
     entry->partner_slot = host_slot(state, receiver);
@@ -308,7 +342,8 @@
         if (sweep.next_segment == flow_table::segment_count)
         {
             sweep.next_segment = 0;
-            finish_round(sweep);
+            finish_round(step);
+            sweep.others_settled = are_others_settled(step);
         }
     }
     send_batches(step);
