Settling after a cut: choices made in one cut do not count in the next

Change: provisional choices carry the number of their cut; spans of two hosts are compared with a tolerance; only the loss of both keepers bars a strict flow, a search that can't be completed just drops the datagram; hints never lower a rank.

--- a/src/adapters/json_codec.cpp
+++ b/src/adapters/json_codec.cpp
@@ -220,6 +220,10 @@
     json backends = json::array();
     for (const backend_runtime& backend : state.known.backends)
     {
+        if (backend.id == backend_id::none)
+        {
+            continue;
+        }
         backends.push_back(json{{"name", backend.name},
                                 {"service", state.known.services[backend.service_slot].name},
                                 {"takes_flows", backend.takes_flows},
--- a/src/adapters/metrics_page.cpp
+++ b/src/adapters/metrics_page.cpp
@@ -38,6 +38,10 @@
     out << "# TYPE briarbarrow_backend_in_flight gauge\n";
     for (const backend_runtime& backend : state.known.backends)
     {
+        if (backend.id == backend_id::none)
+        {
+            continue;
+        }
         const std::string& service = state.known.services[backend.service_slot].name;
         out << "briarbarrow_backend_in_flight{service=\"" << service << "\",backend=\""
             << backend.name << "\"} " << backend.in_flight << '\n';
--- a/src/bench/briarbarrow_bench.cpp
+++ b/src/bench/briarbarrow_bench.cpp
@@ -1,6 +1,5 @@
 // briarbarrow_bench: named experiments on the real core, one JSON object a line.
 #include <iostream>
-#include <optional>
 
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
@@ -78,17 +77,14 @@
 
 // Runs one scenario with one seed. Returns true when every promise was kept.
 bool run_one(const flow_scenario& scenario, const net_settings& settings, std::size_t flows,
-             bool quiet, std::optional<std::size_t> traced, bool story)
+             bool quiet, std::size_t traced, bool story)
 {
     virtual_net net(settings);
     for (std::size_t i = 0; i < settings.hosts; ++i)
     {
         net.start_host(i);
     }
-    if (traced)
-    {
-        net.trace_flow(*traced);
-    }
+    net.trace_flow(traced);
     const net_tally tally = run_flow_scenario(scenario, net, flows);
     const auto broken = broken_promises(scenario, tally);
     if (!quiet || !broken.empty())
@@ -122,9 +118,8 @@
     const auto flows = parsed["flows"].as<std::size_t>();
     const bool quiet = parsed.count("quiet") > 0;
     const bool story = parsed.count("story") > 0;
-    const auto traced = parsed.count("trace") > 0
-                            ? std::optional(parsed["trace"].as<std::size_t>())
-                            : std::nullopt;
+    const std::size_t traced =
+        parsed.count("trace") > 0 ? parsed["trace"].as<std::size_t>() : SIZE_MAX;
     std::uint64_t runs = 0;
     std::uint64_t failed = 0;
     for (const flow_scenario& scenario : flow_scenarios())
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -82,8 +82,9 @@
     {
         ++step.state.counters[counter::flows_reopened];
         change_phase(step.state, entry, flow_phase::open);
-        entry.created = stamp_of(step.now);
+        entry.rank = is_provisional(entry.rank) ? flow_rank::provisional_opened : flow_rank::opened;
     }
+    entry.created = stamp_of(step.now);
     entry.last_seen = stamp_of(step.now);
     send_through_keepers(step, hand, entry);
 }
@@ -105,6 +106,32 @@
     return true;
 }
 
+bool is_barred(core_state& state, const flow_key& key)
+{
+    const flow_entry* entry = state.flows.find(key);
+    return entry != nullptr && entry->barred;
+}
+
+// Drops a datagram that may have been sent to a backend server before, and remembers its flow: as
+// long as the caller repeats it, it is never placed anew.
+void bar_flow(step_context& step, const packet_in_hand& hand)
+{
+    core_state& state = step.state;
+    ++state.counters[counter::dropped_uncertain];
+    flow_entry* entry = state.flows.find(hand.key);
+    if (entry == nullptr)
+    {
+        entry = &state.flows.insert(hand.key);
+        entry->role = flow_role::record;
+        entry->phase = flow_phase::ended;
+        entry->barred = true;
+        entry->service_slot = hand.service_slot;
+        entry->backend_slot = no_backend_slot;
+        entry->created = stamp_of(step.now);
+    }
+    entry->last_seen = stamp_of(step.now);
+}
+
 // The last word on a packet whose flow no reachable host knows.
 void settle_unknown(step_context& step, const packet_in_hand& hand, bool complete)
 {
@@ -120,12 +147,19 @@
         return;
     }
     const bool strict = state.known.services[hand.service_slot].at_most_once;
-    if (strict && (!complete || lost_both_keepers(step, hand.service_slot)))
+    if (strict && !complete)
     {
-        // The record may exist out of reach: to place the datagram could run it twice.
+        // A host out of reach may know it. The caller's next try asks again.
         ++state.counters[counter::dropped_uncertain];
         return;
     }
+    const bool lost = lost_both_keepers(step, hand.service_slot);
+    if (strict && (lost || is_barred(state, hand.key)))
+    {
+        // Its record may be lost for good: to place the datagram could run it twice.
+        bar_flow(step, hand);
+        return;
+    }
     if (may_place(step, hand))
     {
         place_flow(step, hand);
@@ -190,7 +224,8 @@
     flow_entry* entry = state.flows.find(hand.key);
     const bool hint = entry != nullptr && entry->role == flow_role::hint;
     const bool fresh_hint = hint && since(entry->refreshed, step.now) < hint_lifetime;
-    if (entry != nullptr && (!hint || fresh_hint))
+    const bool knows = entry != nullptr && !entry->barred && (!hint || fresh_hint);
+    if (knows)
     {
         note_packet(step, *entry, hand.packet);
         send_through_keepers(step, hand, *entry);
@@ -209,7 +244,8 @@
 void take_absent(step_context& step, packet_in_hand& hand, const relay_header& header)
 {
     // The flow may have become known while the packet was on its way.
-    if (find_record(step.state, hand.key) != nullptr)
+    const flow_entry* entry = find_record(step.state, hand.key);
+    if (entry != nullptr && !entry->barred)
     {
         coordinate(step, hand);
         return;
@@ -238,11 +274,23 @@
 void coordinate(step_context& step, const packet_in_hand& hand)
 {
     flow_entry* entry = find_record(step.state, hand.key);
+    if (entry != nullptr && entry->barred)
+    {
+        search(step, hand);
+        return;
+    }
     if (entry == nullptr)
     {
         coordinate_unknown(step, hand);
         return;
     }
+    const bool cut_off = !has_grant(step.state.hosts, step.now);
+    if (cut_off && is_provisional(entry->rank) && !is_of_this_cut(step.state, *entry))
+    {
+        // Left over from an earlier cut, and the other side can't be asked now.
+        ++step.state.counters[counter::dropped_incomplete_search];
+        return;
+    }
     if (hand.packet.role == packet_role::opening)
     {
         reopen(step, hand, *entry);
--- a/src/core/deposit.cpp
+++ b/src/core/deposit.cpp
@@ -14,8 +14,6 @@
 constexpr std::uint8_t passes_before_hint = 3;
 // A choice this young is under way to its backend server.
 constexpr millis fresh_choice_span{1'000};
-// Two hosts' measures of one span may differ by this much.
-constexpr millis clock_tolerance{250};
 // A confirmation this old is asked for again.
 constexpr millis refresh_after{4'000};
 
@@ -30,8 +28,18 @@
     {
         return true;
     }
-    const bool sent = entry.rank >= flow_rank::provisional_opened;
-    if (entry.rank != header.rank || sent)
+    const int own = certainty(entry.rank);
+    const int told = certainty(header.rank);
+    if (own != told)
+    {
+        return told > own;
+    }
+    if (own == certainty(flow_rank::opened))
+    {
+        // The caller answers the last opening that reached a backend server.
+        return header.age < since(entry.created, step.now);
+    }
+    if (entry.rank != header.rank || own == certainty(flow_rank::established))
     {
         return header.rank > entry.rank;
     }
@@ -68,6 +76,7 @@
 {
     core_state& state = step.state;
     flow_entry* entry = find_record(state, hand.key);
+    const bool opening = hand.packet.role == packet_role::opening;
     if (entry == nullptr && !keeps_records_of(step, hand.service_slot))
     {
         return nullptr;
@@ -77,24 +86,29 @@
         ++state.counters[counter::records_taken];
         flow_entry& added = add_record(step, hand.key, hand.service_slot, backend_slot);
         added.rank = header.rank;
+        added.created = stamp_of(step.now - header.age);
         return &added;
     }
     if (entry->backend_slot == backend_slot)
     {
         entry->rank = std::max(entry->rank, header.rank);
+        if (opening)
+        {
+            entry->created = stamp_of(step.now);
+        }
         const bool over = entry->phase != flow_phase::open;
-        if (over && hand.packet.role == packet_role::opening)
+        if (over && opening)
         {
             change_phase(state, *entry, flow_phase::open);
         }
         return entry;
     }
-    const bool opening = hand.packet.role == packet_role::opening;
     const bool outlived = opening && judge_reuse(step, hand, *entry) != reuse::keep;
     if (outlived || is_outranked(step, *entry, header))
     {
         flow_entry& replaced = add_record(step, hand.key, hand.service_slot, backend_slot);
         replaced.rank = header.rank;
+        replaced.created = stamp_of(step.now - header.age);
         return &replaced;
     }
     ++state.counters[counter::choices_overridden];
--- a/src/core/fast_path.cpp
+++ b/src/core/fast_path.cpp
@@ -12,7 +12,8 @@
 {
     const bool fresh = since(entry.refreshed, now) < hint_lifetime;
     // A choice made during a cut is settled with the other side once it is reached again.
-    const bool unsettled = is_provisional(entry.rank) && has_grant(state.hosts, now);
+    const bool settling = has_grant(state.hosts, now) || !is_of_this_cut(state, entry);
+    const bool unsettled = is_provisional(entry.rank) && settling;
     if (packet.role != packet_role::middle || !fresh || unsettled)
     {
         return false;
--- a/src/core/flow_table.hpp
+++ b/src/core/flow_table.hpp
@@ -60,6 +60,12 @@
     return static_cast<std::uint8_t>(rank) % 2 == 0;
 }
 
+// Chosen, opened or established, with or without a grant.
+constexpr int certainty(flow_rank rank)
+{
+    return static_cast<int>(rank) / 2;
+}
+
 // The rank for a new degree of certainty; a choice without a grant stays one.
 constexpr flow_rank raise_rank(flow_rank rank, flow_rank certain)
 {
@@ -77,11 +83,14 @@
     std::uint32_t backend_slot = 0;
     std::uint32_t last_seen = 0;
     std::uint32_t refreshed = 0;
+    // When the newest opening packet passed.
     std::uint32_t created = 0;
     std::uint16_t partner_slot = 0;
     std::uint8_t passes = 0;
     flow_role role : 2 = flow_role::vacant;
     flow_phase phase : 2 = flow_phase::open;
+    // For a provisional choice: the cut during which it was made, modulo 16.
+    std::uint8_t cut : 4 = 0;
     // True for a flow that must not be placed, since its record may be lost. Has no backend server.
     bool barred : 1 = false;
     // True once the other keeper is known to have the record.
--- a/src/core/hints.cpp
+++ b/src/core/hints.cpp
@@ -110,6 +110,13 @@
     }
     ++state.counters[counter::hints_taken];
     flow_entry* entry = state.flows.find(told.key);
+    const bool other_backend = entry != nullptr && entry->role == flow_role::record &&
+                               !entry->barred && entry->backend_slot != *backend_slot;
+    if (other_backend && told.rank <= entry->rank)
+    {
+        // It has waited while something better became known here.
+        return;
+    }
     if (entry == nullptr)
     {
         entry = &state.flows.insert(told.key);
@@ -117,6 +124,8 @@
     }
     // The hint comes from the end of a chain, where every other choice has been weighed.
     entry->rank = told.rank;
+    const bool cut_off = !has_grant(state.hosts, step.now);
+    entry->cut = static_cast<std::uint8_t>(state.hosts.cuts - (cut_off ? 0 : 1));
     entry->barred = false;
     if (entry->backend_slot != *backend_slot || entry->role == flow_role::hint)
     {
--- a/src/core/keepers.cpp
+++ b/src/core/keepers.cpp
@@ -95,6 +95,32 @@
     return current;
 }
 
+// Digest of the hosts of a view, to tell whether two hosts have the same one. Never 0.
+std::uint32_t digest_view(const std::vector<view_host>& hosts)
+{
+    std::uint64_t digest = 1;
+    for (const view_host& host : hosts)
+    {
+        if (host.eligible)
+        {
+            digest = mix(digest, mix(static_cast<std::uint64_t>(host.id), host.incarnation));
+        }
+    }
+    return static_cast<std::uint32_t>(digest) | 1U;
+}
+
+// Makes a view the newest one.
+void push_view(view_history& history, std::vector<view_host> hosts, millis now)
+{
+    view& newest = history.views.emplace_front();
+    newest.number = history.next_number++;
+    newest.since = now;
+    newest.digest = digest_view(hosts);
+    newest.eligible_hosts = static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(), [](const view_host& host) { return host.eligible; }));
+    newest.hosts = std::move(hosts);
+}
+
 } // namespace
 
 bool update_views(view_history& history, const membership& hosts, millis now)
@@ -116,8 +142,7 @@
     {
         history.views.front().superseded = now;
     }
-    history.views.push_front(view{history.next_number, millis{}, now, std::move(current)});
-    ++history.next_number;
+    push_view(history, std::move(current), now);
     if (history.views.size() > max_views)
     {
         history.views.pop_back();
@@ -125,19 +150,6 @@
     return true;
 }
 
-std::uint32_t digest_view(const view& hosts)
-{
-    std::uint64_t digest = 1;
-    for (const view_host& host : hosts.hosts)
-    {
-        if (host.eligible)
-        {
-            digest = mix(digest, mix(static_cast<std::uint64_t>(host.id), host.incarnation));
-        }
-    }
-    return static_cast<std::uint32_t>(digest) | 1U;
-}
-
 keeper_pair keepers_in(const view& hosts, service_id service)
 {
     std::vector<ranked_host> order = rank(hosts, service);
--- a/src/core/keepers.hpp
+++ b/src/core/keepers.hpp
@@ -51,6 +51,10 @@
     // When the next view took its place; unset for the current one.
     millis superseded;
     millis since;
+    std::uint32_t digest = 0;
+    std::size_t eligible_hosts = 0;
+    // True once all hosts had every record with both keepers of this view.
+    bool settled = false;
     std::vector<view_host> hosts;
 };
 
@@ -76,9 +80,6 @@
 // Brings the history up to date with the membership. Returns true when there is a new view.
 bool update_views(view_history& history, const membership& hosts, millis now);
 
-// Digest of the hosts of a view, to tell whether two hosts have the same one. Never 0.
-std::uint32_t digest_view(const view& hosts);
-
 // The keepers of a service in one view.
 keeper_pair keepers_in(const view& hosts, service_id service);
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -233,6 +233,7 @@
         return;
     }
     self.granted = granted;
+    self.cuts += granted ? 1 : 0;
     self.ungranted_since = now;
     self.output.events.emplace_back(granted ? "this host has its grant again"
                                             : "this host has lost its grant: too few monitors "
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -111,6 +111,8 @@
     // The grant holds up to and including this time.
     millis grant_until{-1};
     bool granted = true;
+    // How often the grant came back. Choices made during an earlier cut are no good in a later one.
+    std::uint8_t cuts = 0;
     // Grows whenever the set of hosts that can be keepers may have changed.
     std::uint64_t changes = 0;
     // When a host was last found to be out of reach, or this one without a grant.
--- a/src/core/paths.cpp
+++ b/src/core/paths.cpp
@@ -117,7 +117,9 @@
     const auto& views = state.views.views;
     for (std::size_t i = 1; i < views.size(); ++i)
     {
-        if (step.now - views[i].superseded > service.idle_timeout)
+        // What was known before a view that had settled is known to its keepers.
+        const bool covered = views[i - 1].settled;
+        if (covered || step.now - views[i].superseded > service.idle_timeout)
         {
             return false;
         }
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -99,6 +99,8 @@
     entry->created = stamp_of(step.now);
     entry->last_seen = entry->created;
     entry->refreshed = entry->created;
+    const bool cut_off = !has_grant(step.state.hosts, step.now);
+    entry->cut = static_cast<std::uint8_t>(step.state.hosts.cuts - (cut_off ? 0 : 1));
     count_in(step.state, *entry);
     return *entry;
 }
@@ -141,6 +143,12 @@
     entry.role = flow_role::hint;
 }
 
+bool is_of_this_cut(const core_state& state, const flow_entry& entry)
+{
+    constexpr unsigned cut_mask = 0xf;
+    return entry.cut == (state.hosts.cuts & cut_mask);
+}
+
 void note_progress(flow_entry& entry, const packet_view& packet)
 {
     if (packet.role == packet_role::middle)
--- a/src/core/registry.hpp
+++ b/src/core/registry.hpp
@@ -72,11 +72,14 @@
     std::size_t operator()(const service_address& value) const;
 };
 
-// All services and backend servers.
+// Slot of the backend server that is none.
+constexpr std::uint32_t no_backend_slot = 0;
+
+// All services and backend servers. Slot 0 of the backend servers is none.
 struct registry
 {
     std::vector<service_runtime> services;
-    std::vector<backend_runtime> backends;
+    std::vector<backend_runtime> backends = std::vector<backend_runtime>(1);
     std::unordered_map<service_address, std::uint32_t, service_address_hash> by_address;
     std::unordered_map<service_id, std::uint32_t> service_slots;
     std::unordered_map<backend_id, std::uint32_t> backend_slots;
--- a/src/core/step.cpp
+++ b/src/core/step.cpp
@@ -300,7 +300,10 @@
     const std::uint64_t changes_before = state.views.seen_changes;
     if (update_views(state.views, state.hosts, now))
     {
+        // A round that began before the newest view says nothing of it.
+        state.sweep.next_segment = 0;
         state.sweep.rounds = 0;
+        state.sweep.unmoved = 0;
         state.sweep.settled_view = 0;
         state.sweep.others_settled = false;
     }
--- a/src/core/step_parts.hpp
+++ b/src/core/step_parts.hpp
@@ -9,6 +9,9 @@
 namespace briarbarrow
 {
 
+// Two hosts' measures of one span may differ by this much, for a packet takes its time.
+constexpr millis clock_tolerance{250};
+
 // One step in progress.
 struct step_context
 {
@@ -118,6 +121,9 @@
 // deposit.cpp: takes the record that a packet carries, and passes the packet on.
 void take_deposit(step_context& step, packet_in_hand& hand, const relay_header& header);
 
+// records.cpp: true for a choice that was made during this very cut, and so may be followed in it.
+bool is_of_this_cut(const core_state& state, const flow_entry& entry);
+
 // deposit.cpp: true when another host may hold a better record of a flow than this one.
 bool needs_settling(const core_state& state, const flow_entry& entry, const packet_view& packet,
                     millis now);
--- a/src/core/sweep.cpp
+++ b/src/core/sweep.cpp
@@ -29,6 +29,10 @@
     {
         return hint_lifetime;
     }
+    if (entry.barred)
+    {
+        return state.known.services[entry.service_slot].idle_timeout;
+    }
     switch (entry.phase)
     {
     case flow_phase::open:
@@ -94,7 +98,7 @@
 bool is_worth_moving(const flow_entry& entry, millis now)
 {
     const bool over = entry.phase == flow_phase::ended;
-    return entry.role == flow_role::record &&
+    return entry.role == flow_role::record && !entry.barred &&
            !(over && since(entry.last_seen, now) > hint_lifetime);
 }
 
@@ -145,7 +149,7 @@
 void collect_move(step_context& step, flow_entry& entry)
 {
     sweep_state& sweep = step.state.sweep;
-    if (entry.role == flow_role::record && is_kept_elsewhere(step.state, entry))
+    if (entry.role == flow_role::record && !entry.barred && is_kept_elsewhere(step.state, entry))
     {
         // One keeper has it, but the other one may not yet: a spare until all have settled.
         if (sweep.others_settled)
@@ -163,7 +167,10 @@
     {
         return;
     }
-    ++sweep.unmoved;
+    // A flow that began in this view takes its record along by itself.
+    const millis view_age = step.now - step.state.views.views.front().since;
+    const bool older_than_view = since(entry.created, step.now) > view_age;
+    sweep.unmoved += older_than_view ? 1 : 0;
     const bool affordable = sweep.record_tokens >= record_wire_bytes;
     if (!affordable || is_moving(sweep, entry.key))
     {
@@ -245,9 +252,8 @@
     ++sweep.rounds;
     sweep.unmoved_before = sweep.unmoved;
     sweep.unmoved = 0;
-    // A round that began before the newest view says nothing of it.
-    const bool settled = sweep.rounds >= 2 && sweep.unmoved_before == 0;
-    sweep.settled_view = settled ? digest_view(step.state.views.views.front()) : 0;
+    const view& newest = step.state.views.views.front();
+    sweep.settled_view = sweep.unmoved_before == 0 ? newest.digest : 0;
 }
 
 // True when all other hosts have said that their records are settled in this host's view, as far
@@ -256,7 +262,6 @@
 {
     const core_state& state = step.state;
     const view& newest = state.views.views.front();
-    const std::uint32_t digest = digest_view(newest);
     const auto partners = heartbeat_partners(state.hosts);
     std::size_t heard = 0;
     for (const host_id partner : partners)
@@ -267,15 +272,13 @@
             continue;
         }
         ++heard;
-        if (other.settled_view != digest)
+        if (other.settled_view != newest.digest)
         {
             return false;
         }
     }
-    const auto is_eligible = [](const view_host& host) { return host.eligible; };
-    const auto eligible = std::count_if(newest.hosts.begin(), newest.hosts.end(), is_eligible);
     const bool self_eligible = state.hosts.state == host_state::live;
-    const std::size_t others = static_cast<std::size_t>(eligible) - (self_eligible ? 1 : 0);
+    const std::size_t others = newest.eligible_hosts - (self_eligible ? 1 : 0);
     return heard >= others || step.now - newest.since >= spare_span;
 }
 
@@ -291,7 +294,9 @@
     }
     flow_entry* entry = state.flows.find(moved.key);
     const bool is_record = entry != nullptr && entry->role == flow_role::record;
-    const bool outlived = is_record && since(entry->last_seen, step.now).count > moved.age_ms;
+    const bool outlived = is_record && 
+                          since(entry->last_seen, step.now) >
+                              millis{moved.age_ms} + clock_tolerance;
     const bool outranked = is_record && (outlived || entry->rank < moved.rank);
     const bool have_record = is_record && !outranked;
     if (have_record && entry->backend_slot != *backend_slot)
@@ -343,10 +348,12 @@
         {
             sweep.next_segment = 0;
             finish_round(step);
-            sweep.others_settled = are_others_settled(step);
         }
     }
     send_batches(step);
+    sweep.others_settled = are_others_settled(step);
+    view& newest = step.state.views.views.front();
+    newest.settled = newest.settled || (sweep.settled_view != 0 && sweep.others_settled);
 }
 
 void take_records(step_context& step, host_id sender, const records& batch)
--- a/src/testing/virtual_callers.cpp
+++ b/src/testing/virtual_callers.cpp
@@ -32,8 +32,10 @@
     return (static_cast<std::uint64_t>(flow) << 32U) | segment;
 }
 
-packet_bytes build_packet(const virtual_flow& flow)
+packet_bytes build_packet(const virtual_flow& flow, std::uint32_t index)
 {
+    // The acknowledgement number tells flows apart that use the same five values in turn.
+    const std::uint32_t mark = index + 1;
     std::string payload(8, '\0');
     for (std::size_t i = 0; i < 4; ++i)
     {
@@ -48,12 +50,12 @@
     case virtual_flow::phase::opening:
         return build_tcp(flow.tuple, {.syn = true}, 1, 0, "");
     case virtual_flow::phase::closing:
-        return build_tcp(flow.tuple, {.ack = true, .fin = true}, flow.segment, 1, "");
+        return build_tcp(flow.tuple, {.ack = true, .fin = true}, flow.segment, mark, "");
     case virtual_flow::phase::established:
     case virtual_flow::phase::over:
         break;
     }
-    return build_tcp(flow.tuple, {.ack = true}, flow.segment, 1, payload);
+    return build_tcp(flow.tuple, {.ack = true}, flow.segment, mark, payload);
 }
 
 std::uint32_t segment_of(const packet_view& packet)
@@ -174,7 +176,7 @@
     {
         return;
     }
-    this->spray(flow, build_packet(flow));
+    this->spray(flow, build_packet(flow, static_cast<std::uint32_t>(index)));
     const auto phase = flow.at;
     const std::uint32_t segment = flow.segment;
     this->post(retry_interval,
@@ -210,6 +212,12 @@
     ++this->seen.packets_to_backends;
     const std::size_t index = this->flow_by_tuple.at(packet.value().tuple);
     virtual_flow& flow = this->flows[index];
+    const std::uint32_t mark = packet.value().acknowledgement;
+    if (mark != 0 && mark != index + 1)
+    {
+        // Left over from an earlier flow with the same five values: TCP turns it away.
+        return;
+    }
     const auto place = static_cast<std::size_t>(backend);
     const std::string& wanted = this->current.services[flow.service].name;
     if (this->backend_service[place] != wanted)
