One rule for which of two records stays, wherever they meet

Batches were sent again with old ages.

Change: one function for deposits, batches and hints; the record of an ended flow is worth least; ages are worked out at each sending.

--- a/src/core/deposit.cpp
+++ b/src/core/deposit.cpp
@@ -17,38 +17,6 @@
 // A confirmation this old is asked for again.
 constexpr millis refresh_after{4'000};
 
-// True when a record has to give way to a deposit with another backend server. Of two mere choices
-// every host prefers the same one, whichever it saw first.
-bool is_outranked(const step_context& step, const flow_entry& entry, const relay_header& header)
-{
-    const core_state& state = step.state;
-    // Nothing was heard of it since the other flow began: it is of an earlier flow.
-    const bool outlived = since(entry.last_seen, step.now) > header.age + clock_tolerance;
-    if (entry.barred || outlived)
-    {
-        return true;
-    }
-    const int own = certainty(entry.rank);
-    const int told = certainty(header.rank);
-    if (own != told)
-    {
-        return told > own;
-    }
-    if (own == certainty(flow_rank::opened))
-    {
-        // The caller answers the last opening that reached a backend server.
-        return header.age < since(entry.created, step.now);
-    }
-    if (entry.rank != header.rank || own == certainty(flow_rank::established))
-    {
-        return header.rank > entry.rank;
-    }
-    const backend_id chosen = state.known.backends[entry.backend_slot].id;
-    const auto score = [&entry](backend_id backend)
-    { return mix(entry.key.low, static_cast<std::uint64_t>(backend)); };
-    return score(header.backend) > score(chosen);
-}
-
 // True when this host is a keeper of a service, or may still be one in another host's view. Other
 // hosts on a packet's path only say what they know.
 bool keeps_records_of(step_context& step, std::uint32_t service_slot)
@@ -104,7 +72,7 @@
         return entry;
     }
     const bool outlived = opening && judge_reuse(step, hand, *entry) != reuse::keep;
-    if (outlived || is_outranked(step, *entry, header))
+    if (outlived || is_outranked(step, *entry, {header.rank, header.age, header.backend}))
     {
         flow_entry& replaced = add_record(step, hand.key, hand.service_slot, backend_slot);
         replaced.rank = header.rank;
@@ -182,7 +150,7 @@
     // While hosts could not reach each other, the caller may have gone on with another choice.
     const bool datagram = packet.tuple.protocol == transport::udp;
     const flow_rank sure = trouble && !datagram ? flow_rank::established : flow_rank::opened;
-    return entry.rank < sure;
+    return worth_of(entry) < sure;
 }
 
 void send_through_keepers(step_context& step, const packet_in_hand& hand, flow_entry& entry)
@@ -205,7 +173,7 @@
     header.coordinator = step.state.hosts.self.id;
     const bool stale = since(entry.refreshed, step.now) >= refresh_after;
     header.wants_confirmation = stale || !is_confirmed(step.state, entry);
-    header.rank = entry.rank;
+    header.rank = worth_of(entry);
     header.age = since(entry.created, step.now);
     header.service = step.state.known.services[entry.service_slot].id;
     header.backend = backend.id;
@@ -231,7 +199,7 @@
     if (entry != nullptr)
     {
         update_from_deposit(step, *entry, hand, header);
-        onward.rank = entry->rank;
+        onward.rank = worth_of(*entry);
         onward.age = since(entry->created, step.now);
         onward.backend = state.known.backends[entry->backend_slot].id;
         onward.backend_packets = state.known.backends[entry->backend_slot].packets;
--- a/src/core/flow_table.hpp
+++ b/src/core/flow_table.hpp
@@ -98,6 +98,12 @@
     flow_rank rank : 3 = flow_rank::choice;
 };
 
+// What an entry is worth now: that of a flow which is over gives way to any other.
+inline flow_rank worth_of(const flow_entry& entry)
+{
+    return entry.phase == flow_phase::ended ? flow_rank::provisional_choice : entry.rank;
+}
+
 // Time since a stamp that was cut to 32 bits. Right for spans below 24 days.
 inline millis since(std::uint32_t stamp, millis now)
 {
--- a/src/core/hints.cpp
+++ b/src/core/hints.cpp
@@ -112,7 +112,7 @@
     flow_entry* entry = state.flows.find(told.key);
     const bool other_backend = entry != nullptr && entry->role == flow_role::record &&
                                !entry->barred && entry->backend_slot != *backend_slot;
-    if (other_backend && told.rank <= entry->rank)
+    if (other_backend && told.rank <= worth_of(*entry))
     {
         // It has waited while something better became known here.
         return;
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -105,6 +105,36 @@
     return *entry;
 }
 
+bool is_outranked(const step_context& step, const flow_entry& entry, const record_claim& claim)
+{
+    // Nothing was heard of it since the other flow began: it is of an earlier flow.
+    const bool outlived = since(entry.last_seen, step.now) > claim.age + clock_tolerance;
+    if (entry.barred || outlived)
+    {
+        return true;
+    }
+    const flow_rank worth = worth_of(entry);
+    const int own = certainty(worth);
+    const int told = certainty(claim.rank);
+    if (own != told)
+    {
+        return told > own;
+    }
+    if (own == certainty(flow_rank::opened))
+    {
+        // The caller answers the last opening that reached a backend server.
+        return claim.age < since(entry.created, step.now);
+    }
+    if (worth != claim.rank || own == certainty(flow_rank::established))
+    {
+        return claim.rank > worth;
+    }
+    const backend_id chosen = step.state.known.backends[entry.backend_slot].id;
+    const auto score = [&entry](backend_id backend)
+    { return mix(entry.key.low, static_cast<std::uint64_t>(backend)); };
+    return score(claim.backend) > score(chosen);
+}
+
 void change_backend(core_state& state, flow_entry& entry, std::uint32_t backend_slot)
 {
     if (is_counted(entry))
--- a/src/core/step_parts.hpp
+++ b/src/core/step_parts.hpp
@@ -121,6 +121,18 @@
 // deposit.cpp: takes the record that a packet carries, and passes the packet on.
 void take_deposit(step_context& step, packet_in_hand& hand, const relay_header& header);
 
+// What another host says of a flow.
+struct record_claim
+{
+    flow_rank rank = flow_rank::choice;
+    millis age;
+    backend_id backend = backend_id::none;
+};
+
+// records.cpp: true when a record has to give way to another host's, with another backend server.
+// Of two mere choices every host prefers the same one, whichever it saw first.
+bool is_outranked(const step_context& step, const flow_entry& entry, const record_claim& claim);
+
 // records.cpp: true for a choice that was made during this very cut, and so may be followed in it.
 bool is_of_this_cut(const core_state& state, const flow_entry& entry);
 
--- a/src/core/sweep.cpp
+++ b/src/core/sweep.cpp
@@ -139,7 +139,7 @@
     moved_record moved;
     moved.key = entry.key;
     moved.backend = backend.id;
-    moved.rank = entry.rank;
+    moved.rank = worth_of(entry);
     moved.age_ms = static_cast<std::uint32_t>(since(entry.created, step.now).count);
     moved.phase = static_cast<std::uint8_t>(entry.phase);
     moved.idle_ms = static_cast<std::uint32_t>(since(entry.last_seen, step.now).count);
@@ -213,6 +213,15 @@
 
 void send_batch(step_context& step, moving_batch& batch)
 {
+    // Ages are those of now, also when the batch is sent again.
+    for (moved_record& moved : batch.entries)
+    {
+        const flow_entry* entry = step.state.flows.find(moved.key);
+        if (entry != nullptr && entry->role == flow_role::record)
+        {
+            moved = make_moved(step, *entry);
+        }
+    }
     const records message{batch.number, batch.entries};
     send_control(step, batch.to, control_kind::records, encode_message(message));
     batch.sent = step.now;
@@ -294,10 +303,9 @@
     }
     flow_entry* entry = state.flows.find(moved.key);
     const bool is_record = entry != nullptr && entry->role == flow_role::record;
-    const bool outlived = is_record && 
-                          since(entry->last_seen, step.now) >
-                              millis{moved.age_ms} + clock_tolerance;
-    const bool outranked = is_record && (outlived || entry->rank < moved.rank);
+    const record_claim claim{moved.rank, millis{moved.age_ms}, moved.backend};
+    const bool other_backend = is_record && entry->backend_slot != *backend_slot;
+    const bool outranked = other_backend && is_outranked(step, *entry, claim);
     const bool have_record = is_record && !outranked;
     if (have_record && entry->backend_slot != *backend_slot)
     {
--- a/src/testing/virtual_net.cpp
+++ b/src/testing/virtual_net.cpp
@@ -516,7 +516,8 @@
         text += " " + std::string(relay_kind_names[static_cast<std::size_t>(relay->kind)]) +
                 " to " + to_string(relay->backend_packets) + " hops " +
                 std::to_string(relay->hops) + " path " + std::to_string(relay->path.size()) +
-                " rank " + std::to_string(static_cast<int>(relay->rank));
+                " rank " + std::to_string(static_cast<int>(relay->rank)) + " age " +
+                std::to_string(relay->age.count);
     }
     const auto host = this->host_at.find(to);
     const flow_key key = flow_key_of(packet.value().tuple);
