No grant for what may be the smaller part of a split domain

Change: no grant while half of the known hosts or more are counted out, and a part without a grant does not forget them.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -193,10 +193,12 @@
 
 void forget_old(membership& self, millis now)
 {
-    const auto is_old = [now](const auto& entry)
+    const auto is_old = [&self, now](const auto& entry)
     {
         const host_state state = entry.second.state;
-        const bool out = state == host_state::gone || state == host_state::left;
+        // A part without a grant must not forget the part that may have one.
+        const bool lost = state == host_state::gone && self.granted;
+        const bool out = lost || state == host_state::left;
         return out && now - entry.second.state_since > forget_after;
     };
     if (std::erase_if(self.others, is_old) > 0)
@@ -205,10 +207,29 @@
     }
 }
 
+// True when at least half of the hosts that are known and did not leave are counted out: this may
+// be the smaller part of a split domain.
+bool may_be_minority(const membership& self)
+{
+    std::size_t present = 1;
+    std::size_t lost = 0;
+    for (const auto& [id, other] : self.others)
+    {
+        present += is_present(other.state) ? 1 : 0;
+        lost += other.state == host_state::gone ? 1 : 0;
+    }
+    return lost >= present;
+}
+
 // The grant ends when the last of the monitors that are needed for it was proven too long ago.
 void compute_grant_end(membership& self)
 {
     const auto monitors = monitors_of(self, self.self.id);
+    if (may_be_minority(self))
+    {
+        self.grant_until = millis{-1};
+        return;
+    }
     if (monitors.empty())
     {
         self.grant_until = forever;
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -14,6 +14,10 @@
 // suspect_after, a host loses its grant before it can be counted out: a host that was paused or
 // cut off knows, before it does anything else, that others may have taken its place.
 //
+// There is no grant either while half of the known hosts or more are counted out: this may then be
+// the smaller part of a split domain. Hosts that were counted out are forgotten after
+// `forget_after`, but never by a part without a grant.
+//
 // A host that finds itself counted out takes a higher incarnation and joins again.
 //
 // When no verdict is possible because too many monitors are out of reach, a silent host stays
