--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -1,6 +1,8 @@
 #include "adapters/log.hpp"
 
-#include <easylogging++.cc>
+#include <string>
+
+#include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
 
--- a/src/adapters/peer_connection.hpp
+++ b/src/adapters/peer_connection.hpp
@@ -52,7 +52,7 @@
     GSocketConnection* connection = nullptr;
     GCancellable* cancel = nullptr;
     peer_frame_buffer received;
-    std::array<std::uint8_t, 16 * 1024> read_buffer{};
+    std::array<std::uint8_t, 16'384> read_buffer{};
     std::deque<message_bytes> queued;
     message_bytes writing;
     bool greeted = false;
--- a/src/adapters/template_files.cpp
+++ b/src/adapters/template_files.cpp
@@ -19,7 +19,7 @@
     std::string text;
     for (const std::string& line : lines)
     {
-        text += text.empty() ? line : "\n" + line;
+        text.append(text.empty() ? "" : "\n").append(line);
     }
     return text;
 }
@@ -239,7 +239,7 @@
         std::string known;
         for (const auto& [name, made] : templates)
         {
-            known += known.empty() ? name : ", " + name;
+            known.append(known.empty() ? "" : ", ").append(name);
         }
         add_fault(faults, reader.place_of("template"),
                   "there is no template \"" + service.template_name + "\"; known are " + known);
--- a/src/adapters/toml_reader.cpp
+++ b/src/adapters/toml_reader.cpp
@@ -63,7 +63,7 @@
     add_fault(this->faults, node, std::string(key) + " must be " + std::string(wanted));
 }
 
-std::string toml_reader::text(std::string_view key, std::optional<std::string> otherwise)
+std::string toml_reader::text(std::string_view key, const std::optional<std::string>& otherwise)
 {
     const toml::node* node = this->take(key, !otherwise);
     if (node == nullptr)
--- a/src/adapters/toml_reader.hpp
+++ b/src/adapters/toml_reader.hpp
@@ -49,7 +49,8 @@
 
     // The value of a key, or the default when the key is absent. Without a default an absent key
     // is a fault.
-    std::string text(std::string_view key, std::optional<std::string> otherwise = std::nullopt);
+    std::string text(std::string_view key,
+                     const std::optional<std::string>& otherwise = std::nullopt);
     std::int64_t integer(std::string_view key, integer_range range,
                          std::optional<std::int64_t> otherwise = std::nullopt);
     bool boolean(std::string_view key, bool otherwise);
--- a/src/bench/briarbarrow_bench.cpp
+++ b/src/bench/briarbarrow_bench.cpp
@@ -161,7 +161,8 @@
         "seeds", "Sweep over the seeds A..B", cxxopts::value<std::string>())(
         "hosts", "Number of hosts", cxxopts::value<std::size_t>()->default_value("5"))(
         "flows", "Number of flows", cxxopts::value<std::size_t>()->default_value("400"))(
-        "quiet", "Print only runs that break a promise")("story", "Print what the hosts say on standard error")(
+        "quiet", "Print only runs that break a promise")(
+        "story", "Print what the hosts say on standard error")(
         "trace", "With --story: print every step of this flow's packets",
         cxxopts::value<std::size_t>())("json", "Print JSON (always)")(
         "help", "Print this text and end")("words", "", cxxopts::value<std::vector<std::string>>());
--- a/src/core/deposit.cpp
+++ b/src/core/deposit.cpp
@@ -87,7 +87,7 @@
                          const relay_header& header)
 {
     note_packet(step, entry, hand.packet);
-    entry.passes += entry.passes < 255 ? 1 : 0;
+    entry.passes += entry.passes < max_passes ? 1 : 0;
     entry.refreshed = stamp_of(step.now);
     entry.confirmed = true;
     entry.partner_slot = host_slot(step.state, header.coordinator);
@@ -155,7 +155,7 @@
 
 void send_through_keepers(step_context& step, const packet_in_hand& hand, flow_entry& entry)
 {
-    entry.passes += entry.passes < 255 ? 1 : 0;
+    entry.passes += entry.passes < max_passes ? 1 : 0;
     const bool settles = needs_settling(step.state, entry, hand.packet, step.now);
     const host_path chain =
         chain_of(step, hand.service_slot, settles ? settling_span : overlap_span);
--- a/src/core/flow_table.hpp
+++ b/src/core/flow_table.hpp
@@ -74,6 +74,9 @@
     return raised > rank ? raised : rank;
 }
 
+// Largest number of passes that is counted.
+constexpr std::uint8_t max_passes = 7;
+
 // A flow as one host knows it. Slots are this host's own small numbers for services, backend
 // servers and hosts. Times are the low 32 bits of the host's clock, in milliseconds.
 struct flow_entry
@@ -86,16 +89,17 @@
     // When the newest opening packet passed.
     std::uint32_t created = 0;
     std::uint16_t partner_slot = 0;
-    std::uint8_t passes = 0;
     flow_role role : 2 = flow_role::vacant;
     flow_phase phase : 2 = flow_phase::open;
+    flow_rank rank : 3 = flow_rank::choice;
+    // True once the other keeper is known to have the record.
+    bool confirmed : 1 = false;
     // For a provisional choice: the cut during which it was made, modulo 16.
     std::uint8_t cut : 4 = 0;
+    // Packets that took the long way, up to max_passes.
+    std::uint8_t passes : 3 = 0;
     // True for a flow that must not be placed, since its record may be lost. Has no backend server.
     bool barred : 1 = false;
-    // True once the other keeper is known to have the record.
-    bool confirmed : 1 = false;
-    flow_rank rank : 3 = flow_rank::choice;
 };
 
 // What an entry is worth now: that of a flow which is over gives way to any other.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -236,6 +236,7 @@
         return;
     }
     std::vector<millis> proofs;
+    proofs.reserve(monitors.size());
     for (const host_id monitor : monitors)
     {
         proofs.push_back(self.others.at(monitor).proven);
@@ -264,7 +265,9 @@
 void note_trouble(membership& self, millis now)
 {
     const auto is_lost = [](const auto& entry)
-    { return entry.second.suspected || entry.second.state == host_state::gone; };
+    {
+        return entry.second.suspected || entry.second.state == host_state::gone;
+    };
     const bool lost = std::any_of(self.others.begin(), self.others.end(), is_lost);
     const bool ungranted = !self.granted && self.state != host_state::joining;
     if (lost || ungranted)
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -131,7 +131,9 @@
     }
     const backend_id chosen = step.state.known.backends[entry.backend_slot].id;
     const auto score = [&entry](backend_id backend)
-    { return mix(entry.key.low, static_cast<std::uint64_t>(backend)); };
+    {
+        return mix(entry.key.low, static_cast<std::uint64_t>(backend));
+    };
     return score(claim.backend) > score(chosen);
 }
 
--- a/src/standin/standin_backend.cpp
+++ b/src/standin/standin_backend.cpp
@@ -32,7 +32,7 @@
 constexpr millis load_report_interval{100};
 constexpr std::size_t datagram_bytes = max_packet_bytes + 256;
 // Answers longer than this are sent at a bounded rate and take no slot.
-constexpr std::uint64_t long_answer_bytes = 64 * 1024;
+constexpr std::uint64_t long_answer_bytes = 65'536;
 
 struct backend_options
 {
--- /dev/null
+++ b/src/testing/test_main.cpp
@@ -0,0 +1,3 @@
+// The program that runs all tests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- a/src/testing/virtual_callers.cpp
+++ b/src/testing/virtual_callers.cpp
@@ -142,14 +142,14 @@
     }
 }
 
-void virtual_net::spray(virtual_flow& flow, packet_bytes packet)
+void virtual_net::spray(const virtual_flow& flow, const packet_bytes& packet)
 {
     std::vector<std::size_t> listed_hosts;
     std::vector<std::size_t> any_hosts;
     for (std::size_t i = 0; i < this->hosts.size(); ++i)
     {
-        if (this->is_cut(flow.zone, this->hosts[i]->zone) || !this->host_at.contains(
-                                                                 this->hosts[i]->info.packets))
+        if (this->is_cut(flow.zone, this->hosts[i]->zone) ||
+            !this->host_at.contains(this->hosts[i]->info.packets))
         {
             continue;
         }
@@ -378,9 +378,9 @@
 
 std::size_t virtual_net::open_flow_count() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->flows.begin(), this->flows.end(), [](const virtual_flow& flow)
-                      { return flow.at != virtual_flow::phase::over; }));
+    return static_cast<std::size_t>(std::count_if(
+        this->flows.begin(), this->flows.end(),
+        [](const virtual_flow& flow) { return flow.at != virtual_flow::phase::over; }));
 }
 
 void virtual_net::finish(millis span)
--- a/src/testing/virtual_net.cpp
+++ b/src/testing/virtual_net.cpp
@@ -83,7 +83,7 @@
 }
 
 virtual_net::virtual_net(const net_settings& settings)
-    : settings(settings), rng(settings.seed), clock(100'000)
+    : settings(settings), rng(settings.seed), clock{100'000}
 {
     this->current = make_test_configuration(settings.backends, settings.zones);
     for (const service_config& service : this->current.services)
@@ -246,8 +246,10 @@
     for (std::size_t i = 0; i < this->hosts.size(); ++i)
     {
         std::uniform_int_distribution<std::int64_t> any(0, spread.count);
-        this->post(millis{any(this->rng)}, [this, i, value, digest]
-                   { this->feed(i, configuration_event{value, digest}); });
+        this->post(millis{any(this->rng)},
+                   [this, i, value, digest] {
+                       this->feed(i, configuration_event{value, digest});
+                   });
     }
 }
 
@@ -338,13 +340,12 @@
                        });
             continue;
         }
-        this->send_datagram(host.info.packets, datagram.to, std::move(bytes));
+        this->send_datagram(host.info.packets, datagram.to, bytes);
     }
     for (const outgoing_list& list : host.out.lists)
     {
         const auto to = this->host_at.find(list.to);
-        if (to == this->host_at.end() ||
-            this->is_cut(host.zone, this->hosts[to->second]->zone))
+        if (to == this->host_at.end() || this->is_cut(host.zone, this->hosts[to->second]->zone))
         {
             continue;
         }
@@ -363,8 +364,10 @@
         }
         const configuration value = this->hosts[from]->held;
         const auto digest = static_cast<std::uint32_t>(value.revision);
-        this->post(peer_link_delay, [this, index, value, digest]
-                   { this->feed(index, configuration_event{value, digest}); });
+        this->post(peer_link_delay,
+                   [this, index, value, digest] {
+                       this->feed(index, configuration_event{value, digest});
+                   });
     }
     for (const std::string& text : host.out.events)
     {
@@ -379,7 +382,7 @@
     }
 }
 
-void virtual_net::send_datagram(const endpoint& from, const endpoint& to, packet_bytes bytes)
+void virtual_net::send_datagram(const endpoint& from, const endpoint& to, const packet_bytes& bytes)
 {
     const auto sender = this->host_at.find(from);
     const auto receiver = this->host_at.find(to);
@@ -476,11 +479,12 @@
     {
         const auto known = host.own_table.find(key);
         const auto score = [&key, this](const endpoint& backend)
-        { return mix(key.low, static_cast<std::uint64_t>(this->backend_at.at(backend))); };
-        const auto best =
-            std::max_element(active.begin(), active.end(),
-                             [score](const endpoint& left, const endpoint& right)
-                             { return score(left) < score(right); });
+        {
+            return mix(key.low, static_cast<std::uint64_t>(this->backend_at.at(backend)));
+        };
+        const auto best = std::max_element(active.begin(), active.end(),
+                                           [score](const endpoint& left, const endpoint& right)
+                                           { return score(left) < score(right); });
         chosen = known == host.own_table.end() ? this->backend_at.at(*best) : known->second;
         host.own_table[key] = chosen;
     }
@@ -501,8 +505,8 @@
         return;
     }
     const auto packet = parse_packet(read.value().body);
-    const auto flow = packet ? this->flow_by_tuple.find(packet.value().tuple)
-                             : this->flow_by_tuple.end();
+    const auto flow =
+        packet ? this->flow_by_tuple.find(packet.value().tuple) : this->flow_by_tuple.end();
     if (flow == this->flow_by_tuple.end() || flow->second != this->traced)
     {
         return;
--- a/src/testing/virtual_net.hpp
+++ b/src/testing/virtual_net.hpp
@@ -189,7 +189,7 @@
     };
 
     void post(millis delay, std::function<void()> action);
-    void send_datagram(const endpoint& from, const endpoint& to, packet_bytes bytes);
+    void send_datagram(const endpoint& from, const endpoint& to, const packet_bytes& bytes);
     void arrive(const endpoint& from, const endpoint& to, const packet_bytes& bytes);
     void feed(std::size_t index, const event& happened);
     void feed_baseline(std::size_t index, const packet_bytes& bytes);
@@ -201,7 +201,7 @@
     bool passes(double probability);
     millis random_delay();
 
-    void spray(virtual_flow& flow, packet_bytes packet);
+    void spray(const virtual_flow& flow, const packet_bytes& packet);
     void send_next(std::size_t flow);
     void check_flow(std::size_t flow);
     void at_backend(int backend, const packet_bytes& frame);
