--- /dev/null
+++ b/src/bench/packet_costs.cpp
@@ -0,0 +1,197 @@
+#include "bench/packet_costs.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "testing/virtual_net.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+constexpr std::size_t packets_measured = 200'000;
+constexpr std::size_t seconds_measured = 10;
+
+const endpoint fabric = *parse_endpoint("127.0.0.1:6400");
+
+flow_tuple numbered_flow(std::size_t number)
+{
+    const std::array<std::uint8_t, 4> source{10, static_cast<std::uint8_t>(number >> 24U),
+                                             static_cast<std::uint8_t>(number >> 16U),
+                                             static_cast<std::uint8_t>(number >> 8U)};
+    return flow_tuple{make_v4(source.data()), *parse_address("192.0.2.1"),
+                      static_cast<std::uint16_t>(1024 + (number & 0xffU)), 80, transport::tcp};
+}
+
+packet_bytes frame_of(const flow_tuple& tuple, tcp_flags flags)
+{
+    return encapsulate(build_tcp(tuple, flags, 1, flags.syn ? 0 : 1, flags.syn ? "" : "data"));
+}
+
+// A core with its clock, driven directly.
+struct measured_core
+{
+    core_state state;
+    actions out;
+    millis now;
+
+    void take(const event& happened)
+    {
+        clear_actions(this->out);
+        step(this->state, happened, this->now, this->out);
+    }
+};
+
+using nanoseconds = std::chrono::duration<double, std::nano>;
+
+// Mean time of one step over all frames.
+double time_frames(measured_core& core, const std::vector<packet_bytes>& frames)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    for (const packet_bytes& frame : frames)
+    {
+        core.take(datagram_event{fabric, frame});
+    }
+    const nanoseconds elapsed = std::chrono::steady_clock::now() - begin;
+    return elapsed.count() / static_cast<double>(frames.size());
+}
+
+std::vector<packet_bytes> make_frames(std::size_t first, std::size_t count, std::size_t range,
+                                      tcp_flags flags)
+{
+    // A stride that visits the whole range without order, as callers do.
+    constexpr std::size_t stride = 7'919;
+    std::vector<packet_bytes> frames;
+    frames.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        frames.push_back(frame_of(numbered_flow(first + (i * stride) % range), flags));
+    }
+    return frames;
+}
+
+measured_core live_core(std::size_t hosts, std::size_t index)
+{
+    net_settings settings;
+    settings.hosts = hosts;
+    settings.loss = 0;
+    settings.repeat = 0;
+    virtual_net net(settings);
+    for (std::size_t i = 0; i < hosts; ++i)
+    {
+        net.start_host(i);
+    }
+    net.run(millis{6'000});
+    return measured_core{net.host(index).core, {}, net.now()};
+}
+
+void raise_limits(measured_core& core)
+{
+    for (backend_runtime& backend : core.state.known.backends)
+    {
+        backend.max_connections = 1'000'000;
+    }
+}
+
+void fill(measured_core& core, std::size_t records)
+{
+    for (std::size_t i = 0; i < records; ++i)
+    {
+        core.take(datagram_event{fabric, frame_of(numbered_flow(i), {.syn = true})});
+    }
+}
+
+double memory_per_record(const measured_core& core)
+{
+    return static_cast<double>(core.state.flows.memory_bytes()) /
+           static_cast<double>(core.state.flows.size());
+}
+
+// The longest step of a whole round of ticks, with the table as it is.
+double longest_tick(measured_core& core)
+{
+    double longest = 0;
+    constexpr std::size_t ticks_of_a_round = 200;
+    for (std::size_t i = 0; i < ticks_of_a_round; ++i)
+    {
+        core.now = core.now + tick_interval;
+        const auto begin = std::chrono::steady_clock::now();
+        core.take(tick_event{});
+        const nanoseconds elapsed = std::chrono::steady_clock::now() - begin;
+        longest = std::max(longest, elapsed.count());
+    }
+    constexpr double nanoseconds_per_microsecond = 1'000;
+    return longest / nanoseconds_per_microsecond;
+}
+
+} // namespace
+
+std::vector<cost_figure> measure_packets(std::size_t records)
+{
+    std::vector<cost_figure> figures;
+    const auto note =
+        [&figures, records](const std::string& name, double value, const std::string& unit)
+    {
+        figures.push_back(cost_figure{name, records, value, unit});
+    };
+    measured_core core = live_core(1, 0);
+    raise_limits(core);
+    fill(core, records);
+    note("memory_per_record", memory_per_record(core), "bytes");
+    const std::size_t hits = std::min(packets_measured, records * 20);
+    note("record_hit", time_frames(core, make_frames(0, hits, records, {.ack = true})), "ns");
+    const std::size_t openings = std::min(packets_measured / 10, records);
+    note("opening", time_frames(core, make_frames(records, openings, openings, {.syn = true})),
+         "ns");
+    note("closing",
+         time_frames(core, make_frames(0, openings, records, {.ack = true, .fin = true})), "ns");
+    std::vector<packet_bytes> unknown(
+        packets_measured / 10, frame_of({*parse_address("203.0.113.9"),
+                                         *parse_address("198.51.100.1"), 1, 80, transport::tcp},
+                                        {.syn = true}));
+    note("refused", time_frames(core, unknown), "ns");
+    note("longest_tick", longest_tick(core), "us");
+    measured_core ingress = live_core(5, 0);
+    const auto strangers = make_frames(0, packets_measured / 10, records, {.syn = true});
+    note("forwarded", time_frames(ingress, strangers), "ns");
+    return figures;
+}
+
+std::vector<cost_figure> measure_domain(std::size_t hosts)
+{
+    std::vector<cost_figure> figures;
+    const auto note =
+        [&figures, hosts](const std::string& name, double value, const std::string& unit)
+    {
+        figures.push_back(cost_figure{name, hosts, value, unit});
+    };
+    net_settings settings;
+    settings.hosts = hosts;
+    settings.loss = 0;
+    settings.repeat = 0;
+    virtual_net net(settings);
+    for (std::size_t i = 0; i < hosts; ++i)
+    {
+        net.start_host(i);
+    }
+    net.run(millis{5'000});
+    const counter_set before = net.host(0).core.counters;
+    const auto begin = std::chrono::steady_clock::now();
+    net.run(millis{static_cast<std::int64_t>(seconds_measured) * 1'000});
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    const counter_set after = net.host(0).core.counters;
+    const auto bytes =
+        after[counter::control_bytes_heartbeat] - before[counter::control_bytes_heartbeat];
+    note("heartbeat_bytes_per_second",
+         static_cast<double>(bytes) / static_cast<double>(seconds_measured), "bytes/s");
+    // All hosts ran in this one process; the queue between them is counted in.
+    const double share = elapsed.count() / static_cast<double>(hosts * seconds_measured) * 100.0;
+    note("idle_core_share", share, "% of a core");
+    note("keepers_of_one_service",
+         static_cast<double>(net.host(0).core.views.views.front().hosts.size()), "hosts ranked");
+    return figures;
+}
+
+} // namespace briarbarrow
--- a/src/bin/briarbarrowctl.cpp
+++ b/src/bin/briarbarrowctl.cpp
@@ -178,6 +178,77 @@
                 exit_unknown);
 }
 
+// The newest configuration that a host has in force, and who has it.
+struct newest_in_force
+{
+    std::uint64_t revision = 0;
+    told_host host;
+};
+
+newest_in_force find_newest(const command_context& context)
+{
+    newest_in_force newest;
+    const auto hosts = read_hosts(context.session, context.location);
+    if (!hosts)
+    {
+        return newest;
+    }
+    for (const host_report& report : ask_hosts(context, hosts.value()))
+    {
+        if (revision_of(report) > newest.revision)
+        {
+            newest = {revision_of(report), report.listed};
+        }
+    }
+    return newest;
+}
+
+// Writes a configuration as the next revision, with its audit entry.
+int write_next(const command_context& context, const stored_configuration& stored,
+               configuration wanted, std::uint64_t revision)
+{
+    const auto changes = describe_changes(stored.value, wanted);
+    wanted.revision = revision;
+    wanted.change_id = new_change_id();
+    const audit_entry entry{wanted.revision, wanted.change_id, context.who,
+                            now_as_text(),   context.why,      changes};
+    for (const std::string& line : changes)
+    {
+        std::cout << line << '\n';
+    }
+    const auto outcome =
+        write_configuration(context.session, context.location, stored, wanted, entry);
+    return report_write(context, outcome, entry);
+}
+
+int run_restore(const command_context& context)
+{
+    const auto stored = read_configuration(context.session, context.location);
+    if (!stored)
+    {
+        return fail(stored.error().message, exit_failed);
+    }
+    const newest_in_force newest = find_newest(context);
+    if (newest.revision <= stored.value().value.revision)
+    {
+        std::cout << "the platform holds the newest revision, " << stored.value().value.revision
+                  << "; nothing to restore\n";
+        return exit_good;
+    }
+    const auto answer = get_and_wait(context.session, newest.host.info.operators, "/configuration");
+    const auto held = answer ? configuration_from_json(answer.value())
+                             : result<configuration, text_error>(text_error{"no answer"});
+    if (!held)
+    {
+        return fail("host " + newest.host.info.name +
+                        " did not give its configuration: " + held.error().message,
+                    exit_failed);
+    }
+    std::cout << "host " << newest.host.info.name << " has revision " << newest.revision
+              << " in force; the platform gets it back\n";
+    return write_next(context, stored.value(), held.value(), newest.revision + 1);
+}
+
 int run_apply(const command_context& context)
 {
     const auto file = read_file(context);
@@ -195,24 +266,22 @@
     {
         return fail(merged.error().message, exit_usage);
     }
-    configuration& wanted = merged.value();
-    const auto changes = describe_changes(stored.value().value, wanted);
-    if (changes.empty())
+    const std::uint64_t revision = stored.value().value.revision;
+    const newest_in_force newest = find_newest(context);
+    if (newest.revision > revision)
+    {
+        return fail("the platform holds revision " + std::to_string(revision) + ", but host " +
+                        newest.host.info.name + " has revision " + std::to_string(newest.revision) +
+                        " in force: the platform has come back old. Nothing was written. Give "
+                        "it the newer one back with 'restore', then apply again",
+                    exit_failed);
+    }
+    if (describe_changes(stored.value().value, merged.value()).empty())
     {
         std::cout << "nothing to change\n";
         return exit_good;
     }
-    wanted.revision = stored.value().value.revision + 1;
-    wanted.change_id = new_change_id();
-    const audit_entry entry{wanted.revision, wanted.change_id, context.who,
-                            now_as_text(),   context.why,      changes};
-    for (const std::string& line : changes)
-    {
-        std::cout << line << '\n';
-    }
-    const auto outcome =
-        write_configuration(context.session, context.location, stored.value(), wanted, entry);
-    return report_write(context, outcome, entry);
+    return write_next(context, stored.value(), merged.value(), revision + 1);
 }
 
 int run_get(const command_context& context)
@@ -337,11 +406,13 @@
     int (*run)(const command_context&) = nullptr;
 };
 
-constexpr std::array<command, 6> commands{{
+constexpr std::array<command, 7> commands{{
     {"apply", "FILE: put the services of a file in force", true, run_apply},
     {"check", "FILE: check a file without writing anything", true, run_check},
     {"get", "print the configuration", false, run_get},
     {"history", "print the audit trail of changes", false, run_history},
+    {"restore", "give a platform that came back old the configuration that hosts have", false,
+     run_restore},
     {"status", "print every host, its zone, state, revision and counters", false, run_status},
     {"templates", "print the templates and their parameters", false, run_templates},
 }};
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -25,6 +25,40 @@
            state == host_state::leaving;
 }
 
+// Notes that the set of hosts or their states changed, and orders the present ones by identifier.
+void note_change(membership& self)
+{
+    ++self.changes;
+    self.ring.clear();
+    self.ring.push_back(self.self.id);
+    for (const auto& [id, other] : self.others)
+    {
+        if (is_present(other.state))
+        {
+            self.ring.push_back(id);
+        }
+    }
+    std::sort(self.ring.begin(), self.ring.end());
+}
+
+// The present hosts that follow one in the order of identifiers; the first follows the last.
+std::vector<host_id> next_in_ring(const membership& self, host_id from, std::size_t count)
+{
+    std::vector<host_id> found;
+    const std::size_t size = self.ring.size();
+    const auto after = std::upper_bound(self.ring.begin(), self.ring.end(), from);
+    const auto start = static_cast<std::size_t>(after - self.ring.begin());
+    for (std::size_t i = 0; i < size && found.size() < count; ++i)
+    {
+        const host_id next = self.ring[(start + i) % size];
+        if (next != from)
+        {
+            found.push_back(next);
+        }
+    }
+    return found;
+}
+
 std::size_t majority(std::size_t monitors)
 {
     return monitors / 2 + 1;
@@ -46,7 +80,7 @@
     other.state_since = now;
     other.suspected = false;
     other.voices.clear();
-    ++self.changes;
+    note_change(self);
 }
 
 void set_own_state(membership& self, host_state state, millis now, const std::string& cause)
@@ -56,7 +90,7 @@
                                  cause);
     self.state = state;
     self.state_since = now;
-    ++self.changes;
+    note_change(self);
 }
 
 void tell_change(membership& self)
@@ -134,7 +168,7 @@
     other.suspected_since = now;
     self.output.events.push_back(describe(other) +
                                  (suspect ? " is suspected: it is silent" : " is heard again"));
-    ++self.changes;
+    note_change(self);
     return true;
 }
 
@@ -203,7 +237,7 @@
     };
     if (std::erase_if(self.others, is_old) > 0)
     {
-        ++self.changes;
+        note_change(self);
     }
 }
 
@@ -309,7 +343,7 @@
     self.state_since = now;
     self.next_heartbeat = now;
     self.ungranted_since = now;
-    ++self.changes;
+    note_change(self);
 }
 
 void learn_host(membership& self, const told_host& told, millis now)
@@ -334,7 +368,7 @@
         const bool listed_out = told.state == host_state::gone || told.state == host_state::left;
         known.state = listed_out ? told.state : host_state::unheard;
         known.state_since = now;
-        ++self.changes;
+        note_change(self);
     }
     if (!is_news(known, told))
     {
@@ -438,34 +472,9 @@
 
 std::vector<host_id> monitors_of(const membership& self, host_id watched)
 {
-    std::vector<host_id> candidates;
-    if (watched != self.self.id)
-    {
-        candidates.push_back(self.self.id);
-    }
-    for (const auto& [id, other] : self.others)
-    {
-        if (id != watched && is_present(other.state))
-        {
-            candidates.push_back(id);
-        }
-    }
-    if (candidates.size() <= full_mesh_others)
-    {
-        return candidates;
-    }
-    const auto score = [watched](host_id id)
-    {
-        return mix(static_cast<std::uint64_t>(watched), static_cast<std::uint64_t>(id));
-    };
-    const auto higher = [score](host_id left, host_id right)
-    {
-        return score(left) > score(right);
-    };
-    std::partial_sort(candidates.begin(), candidates.begin() + sampled_monitors, candidates.end(),
-                      higher);
-    candidates.resize(sampled_monitors);
-    return candidates;
+    // The monitored host is in the ring but for one that is not present.
+    const bool small = self.ring.size() <= full_mesh_others + 1;
+    return next_in_ring(self, watched, small ? full_mesh_others : sampled_monitors);
 }
 
 bool has_grant(const membership& self, millis now)
@@ -509,25 +518,20 @@
 
 std::vector<host_id> heartbeat_partners(const membership& self)
 {
-    std::vector<host_id> targets = monitors_of(self, self.self.id);
+    std::vector<host_id> partners = monitors_of(self, self.self.id);
     for (const auto& [id, other] : self.others)
     {
-        const bool already = std::find(targets.begin(), targets.end(), id) != targets.end();
+        const bool already = std::find(partners.begin(), partners.end(), id) != partners.end();
         // A host that was counted out is still spoken to now and then, so that both sides of a cut
         // find each other again.
         const bool lost = other.state == host_state::gone && self.sequence % lost_interval == 0;
         const bool worth = is_present(other.state) || other.state == host_state::unheard || lost;
-        if (already || !worth)
-        {
-            continue;
-        }
-        const auto monitors = monitors_of(self, id);
-        if (std::find(monitors.begin(), monitors.end(), self.self.id) != monitors.end())
+        if (!already && worth && watches(self, id))
         {
-            targets.push_back(id);
+            partners.push_back(id);
         }
     }
-    return targets;
+    return partners;
 }
 
 heartbeat make_heartbeat(const membership& self, host_id receiver)
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -1,8 +1,8 @@
 // Which hosts of the spray domain are there, without a consensus group.
 //
-// Every host is watched by a few others, its *monitors*: all others in a small domain, three
-// picked by rendezvous hashing in a large one, so that the cost for a host does not grow with the
-// domain. A host and its monitors exchange heartbeats; each heartbeat echoes the newest sequence
+// Every host is watched by a few others, its *monitors*: all others in a small domain, in a large
+// one the three that follow it in the order of identifiers, so that the cost for a host does not
+// grow with the domain. A host and its monitors exchange heartbeats; each heartbeat echoes the newest sequence
 // number received, so that the sender learns how long ago it was surely heard.
 //
 // A monitor that has heard nothing for `suspect_after`, or was not heard for `deaf_after`, says so
@@ -119,6 +119,8 @@
     std::uint8_t cuts = 0;
     // Grows whenever the set of hosts that can be keepers may have changed.
     std::uint64_t changes = 0;
+    // Present hosts, this one included, by identifier.
+    std::vector<host_id> ring;
     // When a host was last found to be out of reach, or this one without a grant.
     millis last_trouble{-1'000'000};
     membership_output output;
