After a cut: provisional choices stay until settled, and a lone host that knows of others has no grant

Change: settling asks for a confirmation; provisional choices are not dropped; their hints prove nothing; doubtful records are not followed while the other side is out of reach; a host that was told of others and hears none has no grant.

--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -224,7 +224,9 @@
     flow_entry* entry = state.flows.find(hand.key);
     const bool hint = entry != nullptr && entry->role == flow_role::hint;
     const bool fresh_hint = hint && since(entry->refreshed, step.now) < hint_lifetime;
-    const bool knows = entry != nullptr && !entry->barred && (!hint || fresh_hint);
+    // A hint of a choice made during a cut is no proof.
+    const bool proven_hint = fresh_hint && !is_provisional(entry->rank);
+    const bool knows = entry != nullptr && !entry->barred && (!hint || proven_hint);
     if (knows)
     {
         note_packet(step, *entry, hand.packet);
@@ -271,6 +273,20 @@
 
 } // namespace
 
+namespace
+{
+
+// True for a record that must not be followed without asking the other side: it is left over from an
+// earlier cut, or nothing is known to have been sent by it although the caller goes on.
+bool is_doubtful(const core_state& state, const flow_entry& entry, const packet_view& packet)
+{
+    const bool left_over = is_provisional(entry.rank) && !is_of_this_cut(state, entry);
+    const bool unsent = certainty(entry.rank) < certainty(flow_rank::opened);
+    return left_over || (unsent && packet.role != packet_role::opening);
+}
+
+} // namespace
+
 void coordinate(step_context& step, const packet_in_hand& hand)
 {
     flow_entry* entry = find_record(step.state, hand.key);
@@ -284,10 +300,9 @@
         coordinate_unknown(step, hand);
         return;
     }
-    const bool cut_off = !has_grant(step.state.hosts, step.now);
-    if (cut_off && is_provisional(entry->rank) && !is_of_this_cut(step.state, *entry))
+    if (!has_grant(step.state.hosts, step.now) && is_doubtful(step.state, *entry, hand.packet))
     {
-        // Left over from an earlier cut, and the other side can't be asked now.
+        // The other side can't be asked now.
         ++step.state.counters[counter::dropped_incomplete_search];
         return;
     }
--- a/src/core/deposit.cpp
+++ b/src/core/deposit.cpp
@@ -172,7 +172,7 @@
     relay_header header = make_header(step, hand, relay_kind::deposit);
     header.coordinator = step.state.hosts.self.id;
     const bool stale = since(entry.refreshed, step.now) >= refresh_after;
-    header.wants_confirmation = stale || !is_confirmed(step.state, entry);
+    header.wants_confirmation = stale || settles || !is_confirmed(step.state, entry);
     header.rank = worth_of(entry);
     header.age = since(entry.created, step.now);
     header.service = step.state.known.services[entry.service_slot].id;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -247,12 +247,16 @@
 {
     std::size_t present = 1;
     std::size_t lost = 0;
+    std::size_t unheard = 0;
     for (const auto& [id, other] : self.others)
     {
         present += is_present(other.state) ? 1 : 0;
         lost += other.state == host_state::gone ? 1 : 0;
+        unheard += other.state == host_state::unheard ? 1 : 0;
     }
-    return lost >= present;
+    // One that hears nobody of those it was told of can't know whether they are there.
+    const bool alone = present == 1 && unheard > 0;
+    return alone || lost >= present;
 }
 
 // The grant ends when the last of the monitors that are needed for it was proven too long ago.
--- a/src/core/sweep.cpp
+++ b/src/core/sweep.cpp
@@ -151,8 +151,9 @@
     sweep_state& sweep = step.state.sweep;
     if (entry.role == flow_role::record && !entry.barred && is_kept_elsewhere(step.state, entry))
     {
-        // One keeper has it, but the other one may not yet: a spare until all have settled.
-        if (sweep.others_settled)
+        // One keeper has it, but the other one may not yet: a spare until all have settled. A
+        // choice made during a cut stays until it is settled itself.
+        if (sweep.others_settled && !is_provisional(entry.rank))
         {
             demote_record(step.state, entry);
         }
