A stale hint is evidence of where a strict datagram went

Change: hints of at-most-once datagram services are remembered for the idle timeout; they answer searches, and the coordinator's own becomes the record again.

--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -153,6 +153,16 @@
         ++state.counters[counter::dropped_uncertain];
         return;
     }
+    flow_entry* remembered = state.flows.find(hand.key);
+    const bool sent_before = strict && remembered != nullptr && !remembered->barred &&
+                             remembered->rank >= flow_rank::opened;
+    if (sent_before)
+    {
+        // Nobody has the record any more, but this host knows where the flow went.
+        promote_hint(state, *remembered);
+        send_through_keepers(step, hand, *remembered);
+        return;
+    }
     const bool lost = lost_both_keepers(step, hand.service_slot);
     if (strict && (lost || is_barred(state, hand.key)))
     {
@@ -223,7 +233,7 @@
     core_state& state = step.state;
     flow_entry* entry = state.flows.find(hand.key);
     const bool hint = entry != nullptr && entry->role == flow_role::hint;
-    const bool fresh_hint = hint && since(entry->refreshed, step.now) < hint_lifetime;
+    const bool fresh_hint = hint && since(entry->refreshed, step.now) < hint_memory(state, *entry);
     // A hint of a choice made during a cut is no proof.
     const bool proven_hint = fresh_hint && !is_provisional(entry->rank);
     const bool knows = entry != nullptr && !entry->barred && (!hint || proven_hint);
@@ -276,8 +286,8 @@
 namespace
 {
 
-// True for a record that must not be followed without asking the other side: it is left over from an
-// earlier cut, or nothing is known to have been sent by it although the caller goes on.
+// True for a record that must not be followed without asking the other side: it is left over from
+// an earlier cut, or nothing is known to have been sent by it although the caller goes on.
 bool is_doubtful(const core_state& state, const flow_entry& entry, const packet_view& packet)
 {
     const bool left_over = is_provisional(entry.rank) && !is_of_this_cut(state, entry);
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -2,8 +2,8 @@
 //
 // Every host is watched by a few others, its *monitors*: all others in a small domain, in a large
 // one the three that follow it in the order of identifiers, so that the cost for a host does not
-// grow with the domain. A host and its monitors exchange heartbeats; each heartbeat echoes the newest sequence
-// number received, so that the sender learns how long ago it was surely heard.
+// grow with the domain. A host and its monitors exchange heartbeats; each heartbeat echoes the
+// newest sequence number received, so that the sender learns how long ago it was surely heard.
 //
 // A monitor that has heard nothing for `suspect_after`, or was not heard for `deaf_after`, says so
 // in its heartbeats. A host is
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -1,5 +1,7 @@
 #include "core/step_parts.hpp"
 
+#include <algorithm>
+
 namespace briarbarrow
 {
 
@@ -166,6 +168,21 @@
     }
 }
 
+millis hint_memory(const core_state& state, const flow_entry& entry)
+{
+    const service_runtime& service = state.known.services[entry.service_slot];
+    const bool strict = service.at_most_once && service.protocol == transport::udp;
+    return strict ? std::max(service.idle_timeout, hint_lifetime) : hint_lifetime;
+}
+
+void promote_hint(core_state& state, flow_entry& entry)
+{
+    entry.role = flow_role::record;
+    entry.phase = flow_phase::open;
+    entry.confirmed = false;
+    count_in(state, entry);
+}
+
 void demote_record(core_state& state, flow_entry& entry)
 {
     if (is_counted(entry))
--- a/src/core/step_parts.hpp
+++ b/src/core/step_parts.hpp
@@ -86,6 +86,13 @@
 // records.cpp: moves a record to a phase and keeps the counts right.
 void change_phase(core_state& state, flow_entry& entry, flow_phase phase);
 
+// records.cpp: how long a hint is remembered. For a service whose requests run at most once it is
+// evidence of where they were sent, beyond the time in which it is followed.
+millis hint_memory(const core_state& state, const flow_entry& entry);
+
+// records.cpp: makes a hint a record again, when nobody else has one.
+void promote_hint(core_state& state, flow_entry& entry);
+
 // records.cpp: makes a record a hint, which is no longer counted.
 void demote_record(core_state& state, flow_entry& entry);
 
--- a/src/core/sweep.cpp
+++ b/src/core/sweep.cpp
@@ -27,7 +27,7 @@
 {
     if (entry.role == flow_role::hint)
     {
-        return hint_lifetime;
+        return hint_memory(state, entry);
     }
     if (entry.barred)
     {
