--- a/src/adapters/template_files.cpp
+++ b/src/adapters/template_files.cpp
@@ -303,7 +303,10 @@
     }
     if (failed)
     {
-        return text_error{"can't read the templates in " + folder + ": " + failed.message()};
+        return text_error{std::string("can't read the templates in ")
+                              .append(folder)
+                              .append(": ")
+                              .append(failed.message())};
     }
     std::sort(paths.begin(), paths.end());
     for (const std::string& path : paths)
@@ -316,7 +319,9 @@
         const std::string name = made.value().name;
         if (!templates.emplace(name, std::move(made.value())).second)
         {
-            return text_error{path + ": there is another template with the name \"" + name + "\""};
+            std::string text = path;
+            text.append(": there is another template with the name \"").append(name).append("\"");
+            return text_error{text};
         }
     }
     return templates;
@@ -350,7 +355,7 @@
     {
         for (const std::string& fault : check_configuration(alone))
         {
-            faults.lines.push_back(path + ": " + fault);
+            faults.lines.emplace_back(path).append(": ").append(fault);
         }
     }
     if (!faults.lines.empty())
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -25,7 +25,28 @@
            state == host_state::leaving;
 }
 
-// Notes that the set of hosts or their states changed, and orders the present ones by identifier.
+// Digest of names, incarnations and states, to notice that two hosts' lists differ.
+std::uint32_t digest_hosts(const membership& self)
+{
+    const auto digest_one = [](host_id id, std::uint64_t incarnation, host_state state)
+    {
+        const auto named = mix(static_cast<std::uint64_t>(id), incarnation);
+        return mix(named, static_cast<std::uint64_t>(state));
+    };
+    std::uint64_t digest = digest_one(self.self.id, self.self.incarnation, self.state);
+    for (const auto& [id, other] : self.others)
+    {
+        if (other.state != host_state::unheard)
+        {
+            // Order must not matter: the sum of the parts.
+            digest += digest_one(id, other.info.incarnation, other.state);
+        }
+    }
+    return static_cast<std::uint32_t>(digest);
+}
+
+// Notes that the set of hosts or their states changed: orders the present ones by identifier and
+// renews the digest.
 void note_change(membership& self)
 {
     ++self.changes;
@@ -39,6 +60,7 @@
         }
     }
     std::sort(self.ring.begin(), self.ring.end());
+    self.hosts_digest = digest_hosts(self);
 }
 
 // The present hosts that follow one in the order of identifiers; the first follows the last.
@@ -105,6 +127,7 @@
     self.self.incarnation = std::max(self.self.incarnation, counted_out) + 1;
     if (self.state == host_state::leaving)
     {
+        note_change(self);
         tell_change(self);
         return;
     }
@@ -443,7 +466,7 @@
     take_echo(self, other, beat.echo);
     compute_grant_end(self);
     take_suspicions(self, sender, beat, now);
-    const bool differs = beat.hosts_digest != digest_hosts(self);
+    const bool differs = beat.hosts_digest != self.hosts_digest;
     if (differs && now - other.list_sent >= list_interval)
     {
         other.list_sent = now;
@@ -573,7 +596,7 @@
     beat.sequence = self.sequence;
     const auto found = self.others.find(receiver);
     beat.echo = found == self.others.end() ? 0 : found->second.sequence_heard;
-    beat.hosts_digest = digest_hosts(self);
+    beat.hosts_digest = self.hosts_digest;
     for (const auto& [id, other] : self.others)
     {
         if (other.suspected)
@@ -599,23 +622,4 @@
     return list;
 }
 
-std::uint32_t digest_hosts(const membership& self)
-{
-    const auto digest_one = [](host_id id, std::uint64_t incarnation, host_state state)
-    {
-        const auto named = mix(static_cast<std::uint64_t>(id), incarnation);
-        return mix(named, static_cast<std::uint64_t>(state));
-    };
-    std::uint64_t digest = digest_one(self.self.id, self.self.incarnation, self.state);
-    for (const auto& [id, other] : self.others)
-    {
-        if (other.state != host_state::unheard)
-        {
-            // Order must not matter: the sum of the parts.
-            digest += digest_one(id, other.info.incarnation, other.state);
-        }
-    }
-    return static_cast<std::uint32_t>(digest);
-}
-
 } // namespace briarbarrow
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -119,6 +119,8 @@
     std::uint8_t cuts = 0;
     // Grows whenever the set of hosts that can be keepers may have changed.
     std::uint64_t changes = 0;
+    // Digest of all hosts' incarnations and states.
+    std::uint32_t hosts_digest = 0;
     // Present hosts, this one included, by identifier.
     std::vector<host_id> ring;
     // When a host was last found to be out of reach, or this one without a grant.
@@ -168,9 +170,6 @@
 // All hosts, or only those whose state changed lately, this host included.
 host_list make_host_list(const membership& self, bool only_recent, millis now);
 
-// Digest of names, incarnations and states, to notice that two hosts' lists differ.
-std::uint32_t digest_hosts(const membership& self);
-
 } // namespace briarbarrow
 
 #endif
