--- /dev/null
+++ b/src/core/monitors.cpp
@@ -0,0 +1,206 @@
+#include "core/monitors.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+// Up to this many others, each host watches all of them.
+constexpr std::size_t full_mesh_others = 4;
+constexpr std::size_t sampled_monitors = 3;
+// Every so many heartbeats, hosts that were counted out get one too.
+constexpr std::uint32_t lost_interval = 5;
+constexpr millis forever{INT64_MAX};
+
+// Digest of names, incarnations and states, to notice that two hosts' lists differ.
+std::uint32_t digest_hosts(const membership& self)
+{
+    const auto digest_one = [](host_id id, std::uint64_t incarnation, host_state state)
+    {
+        const auto named = mix(static_cast<std::uint64_t>(id), incarnation);
+        return mix(named, static_cast<std::uint64_t>(state));
+    };
+    std::uint64_t digest = digest_one(self.self.id, self.self.incarnation, self.state);
+    for (const auto& [id, other] : self.others)
+    {
+        if (other.state != host_state::unheard)
+        {
+            // Order must not matter: the sum of the parts.
+            digest += digest_one(id, other.info.incarnation, other.state);
+        }
+    }
+    return static_cast<std::uint32_t>(digest);
+}
+
+// The present hosts that follow one in the order of identifiers; the first follows the last.
+std::vector<host_id> next_in_ring(const membership& self, host_id from, std::size_t count)
+{
+    std::vector<host_id> found;
+    const std::size_t size = self.ring.size();
+    const auto after = std::upper_bound(self.ring.begin(), self.ring.end(), from);
+    const auto start = static_cast<std::size_t>(after - self.ring.begin());
+    for (std::size_t i = 0; i < size && found.size() < count; ++i)
+    {
+        const host_id next = self.ring[(start + i) % size];
+        if (next != from)
+        {
+            found.push_back(next);
+        }
+    }
+    return found;
+}
+
+bool watches(const membership& self, host_id watched)
+{
+    const auto monitors = monitors_of(self, watched);
+    return std::find(monitors.begin(), monitors.end(), self.self.id) != monitors.end();
+}
+
+// True when at least half of the hosts that are known and did not leave are counted out: this may
+// be the smaller part of a split domain.
+bool may_be_minority(const membership& self)
+{
+    std::size_t present = 1;
+    std::size_t lost = 0;
+    std::size_t unheard = 0;
+    for (const auto& [id, other] : self.others)
+    {
+        present += is_present(other.state) ? 1 : 0;
+        lost += other.state == host_state::gone ? 1 : 0;
+        unheard += other.state == host_state::unheard ? 1 : 0;
+    }
+    // One that hears nobody of those it was told of can't know whether they are there.
+    const bool alone = present == 1 && unheard > 0;
+    return alone || lost >= present;
+}
+
+} // namespace
+
+bool is_present(host_state state)
+{
+    return state == host_state::joining || state == host_state::live ||
+           state == host_state::leaving;
+}
+
+std::size_t majority(std::size_t monitors)
+{
+    return monitors / 2 + 1;
+}
+
+void note_change(membership& self)
+{
+    ++self.changes;
+    self.ring.clear();
+    self.ring.push_back(self.self.id);
+    for (const auto& [id, other] : self.others)
+    {
+        if (is_present(other.state))
+        {
+            self.ring.push_back(id);
+        }
+    }
+    std::sort(self.ring.begin(), self.ring.end());
+    self.hosts_digest = digest_hosts(self);
+}
+
+std::vector<host_id> watched_hosts(const membership& self)
+{
+    std::vector<host_id> watched;
+    const std::size_t size = self.ring.size();
+    const bool small = size <= full_mesh_others + 1;
+    const std::size_t wanted = std::min(small ? full_mesh_others : sampled_monitors, size - 1);
+    const auto own = std::lower_bound(self.ring.begin(), self.ring.end(), self.self.id);
+    const auto place = static_cast<std::size_t>(own - self.ring.begin());
+    for (std::size_t i = 1; i <= wanted; ++i)
+    {
+        watched.push_back(self.ring[(place + size - i) % size]);
+    }
+    return watched;
+}
+
+std::vector<host_id> monitors_of(const membership& self, host_id watched)
+{
+    // The monitored host is in the ring but for one that is not present.
+    const bool small = self.ring.size() <= full_mesh_others + 1;
+    return next_in_ring(self, watched, small ? full_mesh_others : sampled_monitors);
+}
+
+std::vector<host_id> heartbeat_partners(const membership& self)
+{
+    std::vector<host_id> partners = monitors_of(self, self.self.id);
+    for (const host_id watched : watched_hosts(self))
+    {
+        if (std::find(partners.begin(), partners.end(), watched) == partners.end())
+        {
+            partners.push_back(watched);
+        }
+    }
+    for (const auto& [id, other] : self.others)
+    {
+        // A host that was counted out is still spoken to now and then, so that both sides of a cut
+        // find each other again.
+        const bool lost = other.state == host_state::gone && self.sequence % lost_interval == 0;
+        const bool silent = other.state == host_state::unheard || lost;
+        if (silent && watches(self, id))
+        {
+            partners.push_back(id);
+        }
+    }
+    return partners;
+}
+
+void compute_grant_end(membership& self)
+{
+    const auto monitors = monitors_of(self, self.self.id);
+    if (may_be_minority(self))
+    {
+        self.grant_until = millis{-1};
+        return;
+    }
+    if (monitors.empty())
+    {
+        self.grant_until = forever;
+        return;
+    }
+    std::vector<millis> proofs;
+    proofs.reserve(monitors.size());
+    for (const host_id monitor : monitors)
+    {
+        proofs.push_back(self.others.at(monitor).proven);
+    }
+    std::sort(proofs.begin(), proofs.end(), std::greater<>());
+    const std::size_t needed = monitors.size() - majority(monitors.size()) + 1;
+    self.grant_until = proofs[needed - 1] + grant_span;
+}
+
+void update_grant(membership& self, millis now)
+{
+    compute_grant_end(self);
+    const bool granted = has_grant(self, now);
+    if (granted == self.granted)
+    {
+        return;
+    }
+    self.granted = granted;
+    self.cuts += granted ? 1 : 0;
+    self.ungranted_since = now;
+    self.output.events.emplace_back(granted ? "this host has its grant again"
+                                            : "this host has lost its grant: too few monitors "
+                                              "are proven to hear it");
+}
+
+bool has_grant(const membership& self, millis now)
+{
+    return now <= self.grant_until;
+}
+
+bool is_cut_off(const membership& self, millis now)
+{
+    return !self.granted && now - self.ungranted_since > cut_off_after;
+}
+
+} // namespace briarbarrow
