The operators' command and the in-memory net in smaller files

Change: commands, what is asked of hosts, and the entry of the program apart; fabric and trace apart; one header for the net's addresses. No change of behaviour.

--- /dev/null
+++ b/src/bin/ctl_commands.cpp
@@ -0,0 +1,249 @@
+#include "bin/ctl_commands.hpp"
+
+#include <iostream>
+
+#include <glib.h>
+
+#include "adapters/template_files.hpp"
+#include "bin/ctl_hosts.hpp"
+
+namespace briarbarrow
+{
+
+namespace
+{
+
+std::string now_as_text()
+{
+    GDateTime* now = g_date_time_new_now_utc();
+    gchar* text = g_date_time_format_iso8601(now);
+    std::string copy(text);
+    g_free(text);
+    g_date_time_unref(now);
+    return copy;
+}
+
+std::string new_change_id()
+{
+    gchar* text = g_uuid_string_random();
+    std::string copy(text);
+    g_free(text);
+    return copy;
+}
+
+result<service_file, text_error> read_file(const command_context& context)
+{
+    const auto templates = read_templates(context.templates);
+    if (!templates)
+    {
+        return templates.error();
+    }
+    return read_service_file(context.file, templates.value());
+}
+
+int report_write(const command_context& context, write_outcome outcome, const audit_entry& entry)
+{
+    switch (outcome)
+    {
+    case write_outcome::written:
+        std::cout << "revision " << entry.revision << " is written (change " << entry.change_id
+                  << ")\n";
+        return context.wait ? wait_until_in_force(context, entry.revision) : exit_good;
+    case write_outcome::conflict:
+        return fail("someone else changed the configuration in the meantime; nothing was "
+                    "written. Look at it with 'get' and apply again",
+                    exit_conflict);
+    case write_outcome::not_written:
+        return fail("the platform does not take changes now; nothing was written", exit_failed);
+    case write_outcome::unknown:
+        break;
+    }
+    return fail("the platform's answer was lost and it can't be read; change " + entry.change_id +
+                    " may or may not be written. Look at it with 'history' before you repeat it",
+                exit_unknown);
+}
+
+// Writes a configuration as the next revision, with its audit entry.
+int write_next(const command_context& context, const stored_configuration& stored,
+               configuration wanted, std::uint64_t revision)
+{
+    const auto changes = describe_changes(stored.value, wanted);
+    wanted.revision = revision;
+    wanted.change_id = new_change_id();
+    const audit_entry entry{wanted.revision, wanted.change_id, context.who,
+                            now_as_text(),   context.why,      changes};
+    for (const std::string& line : changes)
+    {
+        std::cout << line << '\n';
+    }
+    const auto outcome =
+        write_configuration(context.session, context.location, stored, wanted, entry);
+    return report_write(context, outcome, entry);
+}
+
+} // namespace
+
+int run_check(const command_context& context)
+{
+    const auto file = read_file(context);
+    if (!file)
+    {
+        return fail(file.error().message, exit_usage);
+    }
+    std::cout << context.file << ": good, " << file.value().services.size() << " services of team "
+              << file.value().team << '\n';
+    return exit_good;
+}
+
+int run_restore(const command_context& context)
+{
+    const auto stored = read_configuration(context.session, context.location);
+    if (!stored)
+    {
+        return fail(stored.error().message, exit_failed);
+    }
+    const newest_in_force newest = find_newest(context);
+    if (newest.revision <= stored.value().value.revision)
+    {
+        std::cout << "the platform holds the newest revision, " << stored.value().value.revision
+                  << "; nothing to restore\n";
+        return exit_good;
+    }
+    const auto answer = get_and_wait(context.session, newest.host.info.operators, "/configuration");
+    const auto held = answer ? configuration_from_json(answer.value())
+                             : result<configuration, text_error>(text_error{"no answer"});
+    if (!held)
+    {
+        return fail("host " + newest.host.info.name +
+                        " did not give its configuration: " + held.error().message,
+                    exit_failed);
+    }
+    std::cout << "host " << newest.host.info.name << " has revision " << newest.revision
+              << " in force; the platform gets it back\n";
+    return write_next(context, stored.value(), held.value(), newest.revision + 1);
+}
+
+int run_apply(const command_context& context)
+{
+    const auto file = read_file(context);
+    if (!file)
+    {
+        return fail(file.error().message, exit_usage);
+    }
+    const auto stored = read_configuration(context.session, context.location);
+    if (!stored)
+    {
+        return fail(stored.error().message, exit_failed);
+    }
+    auto merged = merge_services(stored.value().value, file.value());
+    if (!merged)
+    {
+        return fail(merged.error().message, exit_usage);
+    }
+    const std::uint64_t revision = stored.value().value.revision;
+    const newest_in_force newest = find_newest(context);
+    if (newest.revision > revision)
+    {
+        return fail("the platform holds revision " + std::to_string(revision) + ", but host " +
+                        newest.host.info.name + " has revision " + std::to_string(newest.revision) +
+                        " in force: the platform has come back old. Nothing was written. Give "
+                        "it the newer one back with 'restore', then apply again",
+                    exit_failed);
+    }
+    if (describe_changes(stored.value().value, merged.value()).empty())
+    {
+        std::cout << "nothing to change\n";
+        return exit_good;
+    }
+    return write_next(context, stored.value(), merged.value(), revision + 1);
+}
+
+int run_get(const command_context& context)
+{
+    const auto stored = read_configuration(context.session, context.location);
+    if (!stored)
+    {
+        return fail(stored.error().message, exit_failed);
+    }
+    if (stored.value().mod_revision == 0)
+    {
+        return fail("there is no configuration yet; make one with 'apply'", exit_failed);
+    }
+    constexpr int indentation = 2;
+    std::cout << nlohmann::json::parse(stored.value().text).dump(indentation) << '\n';
+    return exit_good;
+}
+
+int run_history(const command_context& context)
+{
+    const auto trail = read_audit(context.session, context.location);
+    if (!trail)
+    {
+        return fail(trail.error().message, exit_failed);
+    }
+    for (const audit_entry& entry : trail.value())
+    {
+        if (context.as_json)
+        {
+            std::cout << audit_to_json(entry) << '\n';
+            continue;
+        }
+        std::cout << "revision " << entry.revision << "  " << entry.when << "  " << entry.who
+                  << "  " << entry.change_id << "  why: " << entry.why << '\n';
+        for (const std::string& line : entry.changes)
+        {
+            std::cout << "    " << line << '\n';
+        }
+    }
+    return exit_good;
+}
+
+int run_status(const command_context& context)
+{
+    const auto hosts = read_hosts(context.session, context.location);
+    if (!hosts)
+    {
+        return fail(hosts.error().message, exit_failed);
+    }
+    const auto reports = ask_hosts(context, hosts.value());
+    bool all_good = true;
+    for (const host_report& report : reports)
+    {
+        all_good = all_good && report.fault.empty();
+        if (context.as_json)
+        {
+            const nlohmann::json whole{{"host", report.listed.info.name},
+                                       {"zone", report.listed.info.zone},
+                                       {"fault", report.fault},
+                                       {"status", report.status}};
+            std::cout << whole.dump() << '\n';
+            continue;
+        }
+        print_report(report);
+    }
+    return all_good ? exit_good : exit_failed;
+}
+
+int run_templates(const command_context& context)
+{
+    const auto templates = read_templates(context.templates);
+    if (!templates)
+    {
+        return fail(templates.error().message, exit_usage);
+    }
+    for (const auto& [name, made] : templates.value())
+    {
+        std::cout << name << ": " << made.description << '\n';
+        for (const auto& [field, parameter] : made.parameters)
+        {
+            std::cout << "    " << service_field_names[static_cast<std::size_t>(field)] << ": "
+                      << parameter.documentation;
+            std::cout << (parameter.otherwise ? " (default " + *parameter.otherwise + ")"
+                                              : std::string(" (must be given)"))
+                      << '\n';
+        }
+    }
+    return exit_good;
+}
+
+} // namespace briarbarrow
--- /dev/null
+++ b/src/bin/ctl_context.hpp
@@ -0,0 +1,39 @@
+// What the commands of briarbarrowctl share.
+#ifndef BRIARBARROW_BIN_CTL_CONTEXT_HPP
+#define BRIARBARROW_BIN_CTL_CONTEXT_HPP
+
+#include <string>
+
+#include "adapters/configuration_store.hpp"
+#include "adapters/http_call.hpp"
+
+namespace briarbarrow
+{
+
+// Exit codes, as the help text has them.
+constexpr int exit_good = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_conflict = 3;
+constexpr int exit_unknown = 4;
+constexpr int exit_not_in_force = 5;
+
+// What every command needs.
+struct command_context
+{
+    store_location location;
+    std::string templates;
+    std::string file;
+    std::string who;
+    std::string why;
+    bool as_json = false;
+    bool wait = false;
+    SoupSession* session = nullptr;
+};
+
+// Prints why a command failed and returns its exit code.
+int fail(const std::string& text, int code);
+
+} // namespace briarbarrow
+
+#endif
--- a/src/testing/virtual_callers.cpp
+++ b/src/testing/virtual_callers.cpp
@@ -1,6 +1,7 @@
 // The callers and backend servers of the virtual net, and the checks at them.
 #include <algorithm>
 
+#include "testing/virtual_addresses.hpp"
 #include "testing/virtual_net.hpp"
 
 namespace briarbarrow
@@ -16,11 +17,6 @@
 constexpr std::uint32_t closing_segment = 0xffffffff;
 constexpr std::size_t max_faults = 20;
 
-endpoint fabric_endpoint()
-{
-    return *parse_endpoint("127.0.0.1:6400");
-}
-
 flow_tuple reversed(const flow_tuple& tuple)
 {
     return flow_tuple{tuple.destination, tuple.source, tuple.destination_port, tuple.source_port,
--- a/src/testing/virtual_net.cpp
+++ b/src/testing/virtual_net.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "testing/virtual_addresses.hpp"
+
 namespace briarbarrow
 {
 
@@ -13,35 +15,6 @@
 constexpr millis told_configuration_after{200};
 constexpr millis peer_link_delay{4};
 constexpr millis fabric_interval{100};
-constexpr millis fabric_lag{700};
-
-endpoint host_endpoint(std::size_t index, std::uint16_t port)
-{
-    const std::array<std::uint8_t, 4> bytes{127, 0, 1, static_cast<std::uint8_t>(index + 1)};
-    return endpoint{make_v4(bytes.data()), port};
-}
-
-endpoint backend_endpoint(std::size_t index)
-{
-    const std::array<std::uint8_t, 4> bytes{127, 0, 2, static_cast<std::uint8_t>(index + 1)};
-    return endpoint{make_v4(bytes.data()), 6081};
-}
-
-ip_address service_address_of(std::size_t index)
-{
-    const std::array<std::uint8_t, 4> bytes{192, 0, 2, static_cast<std::uint8_t>(index + 1)};
-    return make_v4(bytes.data());
-}
-
-std::string zone_name(std::size_t index)
-{
-    return "zone-" + std::to_string(index);
-}
-
-endpoint fabric_endpoint()
-{
-    return *parse_endpoint("127.0.0.1:6400");
-}
 
 } // namespace
 
@@ -449,123 +422,6 @@
     this->feed(index, datagram_event{from, bytes});
 }
 
-// The baselines: each host decides by itself.
-void virtual_net::feed_baseline(std::size_t index, const packet_bytes& bytes)
-{
-    virtual_host& host = *this->hosts[index];
-    if (host.paused)
-    {
-        return;
-    }
-    const auto read = decode_frame(bytes);
-    const auto packet = parse_packet(read.value().body);
-    const flow_key key = flow_key_of(packet.value().tuple);
-    const auto service_index =
-        static_cast<std::size_t>(packet.value().tuple.destination.bytes[15] - 1);
-    if (host.held.services.size() <= service_index)
-    {
-        return;
-    }
-    std::vector<endpoint> active;
-    for (const backend_config& backend : host.held.services[service_index].backends)
-    {
-        if (backend.state == backend_state::active)
-        {
-            active.push_back(backend.packets);
-        }
-    }
-    int chosen = this->backend_at.at(active[key.low % active.size()]);
-    if (this->settings.policy == flow_policy::local_table)
-    {
-        const auto known = host.own_table.find(key);
-        const auto score = [&key, this](const endpoint& backend)
-        {
-            return mix(key.low, static_cast<std::uint64_t>(this->backend_at.at(backend)));
-        };
-        const auto best = std::max_element(active.begin(), active.end(),
-                                           [score](const endpoint& left, const endpoint& right)
-                                           { return score(left) < score(right); });
-        chosen = known == host.own_table.end() ? this->backend_at.at(*best) : known->second;
-        host.own_table[key] = chosen;
-    }
-    this->send_datagram(host.info.packets, backend_endpoint(static_cast<std::size_t>(chosen)),
-                        bytes);
-}
-
-void virtual_net::trace_flow(std::size_t flow)
-{
-    this->traced = flow;
-}
-
-void virtual_net::trace(const endpoint& from, const endpoint& to, const packet_bytes& bytes)
-{
-    const auto read = decode_frame(bytes);
-    if (!read || read.value().control)
-    {
-        return;
-    }
-    const auto packet = parse_packet(read.value().body);
-    const auto flow =
-        packet ? this->flow_by_tuple.find(packet.value().tuple) : this->flow_by_tuple.end();
-    if (flow == this->flow_by_tuple.end() || flow->second != this->traced)
-    {
-        return;
-    }
-    constexpr std::array<std::string_view, 3> roles{"opening", "middle", "closing"};
-    std::string text = std::to_string(this->clock.count) + " " + to_string(from) + " -> " +
-                       to_string(to) + " " +
-                       std::string(roles[static_cast<std::size_t>(packet.value().role)]);
-    if (const auto& relay = read.value().relay)
-    {
-        text += " " + std::string(relay_kind_names[static_cast<std::size_t>(relay->kind)]) +
-                " to " + to_string(relay->backend_packets) + " hops " +
-                std::to_string(relay->hops) + " path " + std::to_string(relay->path.size()) +
-                " rank " + std::to_string(static_cast<int>(relay->rank)) + " age " +
-                std::to_string(relay->age.count);
-    }
-    const auto host = this->host_at.find(to);
-    const flow_key key = flow_key_of(packet.value().tuple);
-    flow_entry* entry =
-        host == this->host_at.end() ? nullptr : this->hosts[host->second]->core.flows.find(key);
-    if (entry != nullptr)
-    {
-        const auto& backends = this->hosts[host->second]->core.known.backends;
-        text += entry->role == flow_role::record ? "; has a record of " : "; has a hint of ";
-        text += backends[entry->backend_slot].name;
-        text += " rank " + std::to_string(static_cast<int>(entry->rank));
-        text += entry->confirmed ? " confirmed" : "";
-        text += " phase " + std::to_string(static_cast<int>(entry->phase));
-    }
-    this->told.push_back(text);
-}
-
-void virtual_net::update_fabric()
-{
-    for (std::size_t i = 0; i < this->hosts.size(); ++i)
-    {
-        const virtual_host& host = *this->hosts[i];
-        bool counted_out = false;
-        for (const auto& other : this->hosts)
-        {
-            const auto& known = other->core.hosts.others;
-            const auto found = known.find(host.info.id);
-            const bool gone = found != known.end() && found->second.state >= host_state::leaving;
-            counted_out = counted_out || (other->alive && gone);
-        }
-        const bool live = host.core.hosts.state == host_state::live;
-        const bool wanted = live && !counted_out;
-        if (wanted == this->listed[i])
-        {
-            this->listing_changes[i] = this->clock;
-        }
-        else if (this->clock - this->listing_changes[i] >= fabric_lag)
-        {
-            this->listed[i] = wanted;
-        }
-    }
-    this->post(fabric_interval, [this] { this->update_fabric(); });
-}
-
 void virtual_net::run(millis span)
 {
     const millis end = this->clock + span;
