--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -71,7 +71,7 @@
 // Searches that a host starts. Unit: searches per second.
 constexpr std::int64_t searches_per_second = 2'000;
 // Bytes of record batches that a host sends. Unit: bytes per second.
-constexpr std::int64_t record_bytes_per_second = 800;
+constexpr std::int64_t record_bytes_per_second = 650;
 // Bytes of hints that a host sends in datagrams of their own. Unit: bytes per second.
 constexpr std::int64_t hint_bytes_per_second = 300;
 
