--- a/src/adapters/host_daemon.cpp
+++ b/src/adapters/host_daemon.cpp
@@ -135,7 +135,7 @@
                          }};
     pages["/status"] = {"application/json", [this]
                         {
-                            return status_to_json(this->core, monotonic_now());
+                            return status_to_json(this->core, monotonic_now(), this->summaries());
                         }};
     pages["/configuration"] = {"application/json", [this]
                                {
@@ -470,10 +470,13 @@
                                                {"platform_writes", calls.writes},
                                                {"platform_watches", calls.watches},
                                                {"platform_failures", calls.failures}};
-    const std::vector<adapter_summary> summaries{
-        {"tick_lateness_milliseconds", "How late ticks come.", &this->tick_lateness},
-        {"tick_duration_microseconds", "How long ticks take.", &this->step_time}};
-    return make_metrics_page(this->core, monotonic_now(), counters, summaries);
+    return make_metrics_page(this->core, monotonic_now(), counters, this->summaries());
+}
+
+std::vector<adapter_summary> host_daemon::summaries() const
+{
+    return {{"tick_lateness_milliseconds", "How late ticks come.", &this->tick_lateness},
+            {"tick_duration_microseconds", "How long ticks take.", &this->step_time}};
 }
 
 std::string host_daemon::story_page() const
--- a/src/adapters/host_daemon.hpp
+++ b/src/adapters/host_daemon.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "adapters/histogram.hpp"
+#include "adapters/metrics_page.hpp"
 #include "adapters/operator_endpoint.hpp"
 #include "adapters/packet_port.hpp"
 #include "adapters/peer_link.hpp"
@@ -66,6 +67,7 @@
     void unlist_lost_hosts();
     void seed_peers();
     std::string metrics_page();
+    std::vector<adapter_summary> summaries() const;
     std::string story_page() const;
     static gboolean on_tick(gpointer self);
 
--- a/src/adapters/json_codec.cpp
+++ b/src/adapters/json_codec.cpp
@@ -215,6 +215,25 @@
     return hosts;
 }
 
+json summaries_to(const std::vector<adapter_summary>& summaries)
+{
+    json all = json::object();
+    for (const adapter_summary& summary : summaries)
+    {
+        json quantiles = json::object();
+        for (std::size_t i = 0; i < kept_quantiles.size(); ++i)
+        {
+            const std::string share = json(kept_quantiles[i]).dump();
+            quantiles[share] = summary.values->quantile(i);
+        }
+        all[std::string(summary.name)] = json{{"count", summary.values->count()},
+                                              {"sum", summary.values->sum()},
+                                              {"largest", summary.values->largest()},
+                                              {"quantiles", quantiles}};
+    }
+    return all;
+}
+
 json backends_to(const core_state& state)
 {
     json backends = json::array();
@@ -302,7 +321,8 @@
     return read_json(text, "audit entry", audit_from);
 }
 
-std::string status_to_json(const core_state& state, millis now)
+std::string status_to_json(const core_state& state, millis now,
+                           const std::vector<adapter_summary>& summaries)
 {
     json counters = json::object();
     for (std::size_t i = 0; i < counter_names.size(); ++i)
@@ -318,7 +338,8 @@
                      {"records_to_move", state.sweep.unmoved_before},
                      {"hosts", members_to(state, now)},
                      {"backends", backends_to(state)},
-                     {"counters", counters}};
+                     {"counters", counters},
+                     {"distributions", summaries_to(summaries)}};
     return whole.dump();
 }
 
--- a/src/adapters/json_codec.hpp
+++ b/src/adapters/json_codec.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "adapters/metrics_page.hpp"
 #include "core/configuration.hpp"
 #include "core/core.hpp"
 #include "core/host.hpp"
@@ -49,8 +50,9 @@
 // Reads an audit entry.
 result<audit_entry, text_error> audit_from_json(std::string_view text);
 
-// Writes what an operator wants to know of a host.
-std::string status_to_json(const core_state& state, millis now);
+// Writes what an operator wants to know of a host, with the distributions that it measures.
+std::string status_to_json(const core_state& state, millis now,
+                           const std::vector<adapter_summary>& summaries);
 
 } // namespace briarbarrow
 
--- a/src/testing/platform_test.cpp
+++ b/src/testing/platform_test.cpp
@@ -1,11 +1,14 @@
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "adapters/etcd_codec.hpp"
 #include "adapters/tun_port.hpp"
 #include "standin/kv_store.hpp"
+#include "testing/junk.hpp"
 
 using namespace briarbarrow;
 
@@ -39,6 +42,26 @@
     CHECK(watch.value().deletes == std::vector<std::string>{"b"});
 }
 
+TEST_CASE("junk answers from the platform are refused, never a crash")
+{
+    std::mt19937_64 random(20261204);
+    const std::string answer =
+        R"({"header":{"revision":"9"},"kvs":[{"key":"YQ==","value":"Yg==","mod_revision":"4"}],)"
+        R"("result":{"TTL":"60","events":[{"type":"PUT","kv":{"key":"YQ=="}}]},"ID":"7"})";
+    int refused = 0;
+    for (int i = 0; i < 20'000; ++i)
+    {
+        const auto bytes = spoil({answer.begin(), answer.end()}, random);
+        const std::string text(bytes.begin(), bytes.end());
+        refused += decode_range(text) ? 0 : 1;
+        refused += decode_watch(text) ? 0 : 1;
+        refused += decode_swap(text) ? 0 : 1;
+        refused += decode_lease_grant(text) ? 0 : 1;
+        refused += decode_keep_alive(text) ? 0 : 1;
+    }
+    CHECK(refused > 20'000);
+}
+
 TEST_CASE("the stand-in's keys go when their lease ends")
 {
     kv_store store;
