--- a/src/bench/packet_costs.cpp
+++ b/src/bench/packet_costs.cpp
@@ -72,17 +72,28 @@
     return frames;
 }
 
-measured_core live_core(std::size_t hosts, std::size_t index)
+// A net that loses and repeats nothing.
+net_settings lossless(std::size_t hosts)
 {
     net_settings settings;
     settings.hosts = hosts;
     settings.loss = 0;
     settings.repeat = 0;
-    virtual_net net(settings);
+    return settings;
+}
+
+void start_all(virtual_net& net, std::size_t hosts)
+{
     for (std::size_t i = 0; i < hosts; ++i)
     {
         net.start_host(i);
     }
+}
+
+measured_core live_core(std::size_t hosts, std::size_t index)
+{
+    virtual_net net(lossless(hosts));
+    start_all(net, hosts);
     net.run(millis{6'000});
     return measured_core{net.host(index).core, {}, net.now()};
 }
@@ -167,15 +178,8 @@
     {
         figures.push_back(cost_figure{name, hosts, value, unit});
     };
-    net_settings settings;
-    settings.hosts = hosts;
-    settings.loss = 0;
-    settings.repeat = 0;
-    virtual_net net(settings);
-    for (std::size_t i = 0; i < hosts; ++i)
-    {
-        net.start_host(i);
-    }
+    virtual_net net(lossless(hosts));
+    start_all(net, hosts);
     net.run(millis{5'000});
     const counter_set before = net.host(0).core.counters;
     const auto begin = std::chrono::steady_clock::now();
--- a/src/testing/core_test.cpp
+++ b/src/testing/core_test.cpp
@@ -274,7 +274,7 @@
     CHECK(host.count(counter::flows_ended) == 1);
 }
 
-TEST_CASE("a step allocates nothing for a packet of a known flow")
+TEST_CASE("steps reuse the memory of the actions that they fill")
 {
     lone_host host;
     host.packet(opening(1000));
