Entries that lapse together do not send all load to the backend servers that return first

Change: when half of a service's capacity or more has lost its entries within the 2 s of grace, the entries are in doubt, not the backend servers: no extra cost, and they count as capacity.

--- a/src/tagged/placement.cpp
+++ b/src/tagged/placement.cpp
@@ -57,13 +57,31 @@
     return std::max(0.0, ahead) * own_time / slots;
 }
 
-service_load load_of(const backend_directory& known, service_id service)
+bool is_mass_lapse(const backend_directory& known, service_id service, millis now)
 {
+    std::uint32_t listed = 0;
+    std::uint32_t lapsed = 0;
+    for (const backend_index index : members_of(known, service))
+    {
+        const known_backend& backend = known.entries[index];
+        if (is_usable(backend, now))
+        {
+            (backend.phase == backend_phase::serving ? listed : lapsed) += backend.notice.slots;
+        }
+    }
+    return lapsed > 0 && lapsed >= listed;
+}
+
+service_load load_of(const backend_directory& known, service_id service, millis now)
+{
+    const bool counts_lapsed = is_mass_lapse(known, service, now);
     service_load load;
     for (const backend_index index : members_of(known, service))
     {
         const known_backend& backend = known.entries[index];
-        if (backend.phase == backend_phase::serving && !backend.evidence.is_suspected)
+        const bool is_counted =
+            backend.phase == backend_phase::serving || (counts_lapsed && is_usable(backend, now));
+        if (is_counted && !backend.evidence.is_suspected)
         {
             load.slots += backend.notice.slots;
             load.open_flows += backend.evidence.open_flows;
@@ -98,7 +116,8 @@
     cost += slowness_ms(candidate, service_ms, weights);
     cost += now < candidate.warm_until ? weights.warm_up * service_ms : 0;
     cost += candidate.notice.zone == request.own_zone ? 0 : weights.other_zone_ms;
-    cost += candidate.phase == backend_phase::unlisted ? weights.unlisted_ms : 0;
+    const bool is_lapsed = candidate.phase == backend_phase::unlisted && !request.is_mass_lapse;
+    cost += is_lapsed ? weights.unlisted_ms : 0;
     cost += is_doubtful(candidate, request) ? weights.suspected_ms : 0;
     return cost;
 }
--- a/src/tagged/placement.hpp
+++ b/src/tagged/placement.hpp
@@ -42,7 +42,7 @@
     double chance_factor = 1.4;
     // Another availability zone: four times the round trip between zones of one region.
     double other_zone_ms = 4;
-    // An entry that is not there and may have lapsed.
+    // An entry that is not there and may have lapsed, while most of its service's are there.
     double unlisted_ms = 300;
     // No answer to openings.
     double suspected_ms = 1'000;
@@ -63,6 +63,8 @@
     const zone_views* zones = nullptr;
     // Daemons in the own zone, which send to the same backend servers.
     std::size_t sharing_daemons = 1;
+    // Most of the service's entries are gone at once.
+    bool is_mass_lapse = false;
 };
 
 // A chosen backend server.
@@ -77,14 +79,20 @@
 // Expected wait for a slot behind so many flows. Unit: milliseconds.
 double expected_wait_ms(const known_backend& candidate, std::uint32_t flows, double service_ms);
 
-// Slots and open flows of a service's backend servers that serve and answer.
+// True when half of a service's capacity or more has lost its entries within `lapse_span`. That is
+// how a store looks that has just come back: the backend servers live and list themselves again one
+// by one. Those that are first must not be given the load of all.
+bool is_mass_lapse(const backend_directory& known, service_id service, millis now);
+
+// Slots and open flows of a service's backend servers that answer and are listed, or have lapsed
+// together.
 struct service_load
 {
     double slots = 0;
     double open_flows = 0;
 };
 
-service_load load_of(const backend_directory& known, service_id service);
+service_load load_of(const backend_directory& known, service_id service, millis now);
 
 // Wait that a new flow of a service finds when other daemons have so many flows open there. Unit:
 // milliseconds.
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -82,6 +82,7 @@
     request.service_ms = service_time(state, request.service);
     request.zones = &state.zones;
     request.sharing_daemons = state.sharing_daemons;
+    request.is_mass_lapse = is_mass_lapse(state.backends, request.service, now);
     return place_flow(state.backends, request, state.settings.weights, now);
 }
 
@@ -114,7 +115,7 @@
     service_queue& queue = state.queues[chosen.service];
     const double work_ms =
         queue.work_ms > 0 ? queue.work_ms : state.settings.weights.first_service_ms;
-    const service_load load = load_of(state.backends, chosen.service);
+    const service_load load = load_of(state.backends, chosen.service, now);
     // Others have flows open in proportion to what they place. The crowd of callers that waited out
     // a standstill is this daemon's alone.
     const bool is_crowd = now < state.awake_since + crowd_span;
--- a/src/testing/tagged_field.cpp
+++ b/src/testing/tagged_field.cpp
@@ -83,6 +83,8 @@
     bool reaches(std::size_t daemon, std::size_t backend) const;
     std::int64_t link_us(std::size_t daemon, std::size_t backend) const;
     void make_hosts();
+    backend_notice notice_of(std::size_t backend) const;
+    void plan_lapse();
     void plan_arrivals(bool once, double per_s);
     void arrive(bool once);
     void begin_try(const request_ptr& request);
@@ -212,14 +214,7 @@
         take_route_list(daemon.router, routes);
         for (std::size_t k = 0; k < this->backends.size(); ++k)
         {
-            backend_notice notice;
-            notice.name = this->backends[k].name;
-            notice.service = "orders";
-            notice.zone = "zone-" + std::to_string(this->backends[k].zone);
-            notice.packets = *parse_endpoint("10.0.0." + std::to_string(k + 1) + ":8080");
-            notice.slots = this->options.slots;
-            notice.born = 1;
-            take_backend(daemon.router, notice, this->now());
+            take_backend(daemon.router, this->notice_of(k), this->now());
         }
         confirm_lists(daemon.router, this->now());
         this->at(static_cast<std::int64_t>(i) * 1'300, [this, i]() { this->tick(i); });
@@ -228,6 +223,48 @@
                               std::vector<std::int64_t>(this->options.backends, 0));
 }
 
+backend_notice field::notice_of(std::size_t backend) const
+{
+    backend_notice notice;
+    notice.name = this->backends[backend].name;
+    notice.service = "orders";
+    notice.zone = "zone-" + std::to_string(this->backends[backend].zone);
+    notice.packets = *parse_endpoint("10.0.0." + std::to_string(backend + 1) + ":8080");
+    notice.slots = this->options.slots;
+    notice.born = 1;
+    return notice;
+}
+
+void field::plan_lapse()
+{
+    if (this->options.lapse_at_ms == 0)
+    {
+        return;
+    }
+    const std::int64_t begin_us = this->options.lapse_at_ms * us_per_ms;
+    const std::int64_t span_us = this->options.lapse_return_ms * us_per_ms;
+    const auto count = static_cast<std::int64_t>(this->backends.size());
+    for (std::size_t k = 0; k < this->backends.size(); ++k)
+    {
+        this->at(begin_us,
+                 [this, k]()
+                 {
+                     for (field_daemon& daemon : this->daemons)
+                     {
+                         lose_backend(daemon.router, this->backends[k].name, this->now());
+                     }
+                 });
+        this->at(begin_us + span_us * static_cast<std::int64_t>(k + 1) / count,
+                 [this, k]()
+                 {
+                     for (field_daemon& daemon : this->daemons)
+                     {
+                         take_backend(daemon.router, this->notice_of(k), this->now());
+                     }
+                 });
+    }
+}
+
 void field::plan_arrivals(bool once, double per_s)
 {
     if (per_s <= 0)
@@ -714,6 +751,7 @@
 field_report field::run()
 {
     this->make_hosts();
+    this->plan_lapse();
     this->plan_arrivals(false, this->options.idempotent_per_s);
     this->plan_arrivals(true, this->options.once_per_s);
     while (!this->events.empty())
--- a/src/testing/tagged_field.hpp
+++ b/src/testing/tagged_field.hpp
@@ -65,6 +65,10 @@
     double slow_factor = 5;
     field_span cut_zones;
     field_span frozen_daemons;
+    // All entries of the store lapse at this time and come back one by one within the span; 0 for
+    // never.
+    std::int64_t lapse_at_ms = 0;
+    std::int64_t lapse_return_ms = 1'500;
 };
 
 // What callers of one kind saw.
--- a/src/testing/tagged_field_test.cpp
+++ b/src/testing/tagged_field_test.cpp
@@ -89,6 +89,21 @@
     }
 }
 
+TEST_CASE("placement: entries that lapse together do not send all load to those that return first")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        field_options lapsed;
+        lapsed.lapse_at_ms = 3'000;
+        const field_report ours = run_with(lapsed, field_policy::product, seed);
+        const field_report best = run_with(lapsed, field_policy::all_seeing, seed);
+        check_promises(ours);
+        CHECK(missed(ours) <= missed(best) * 13 / 10 + chance);
+        CHECK(ours.once.failed + ours.idempotent.failed == 0);
+        CHECK(ours.resets == 0);
+    }
+}
+
 TEST_CASE("suspicion: a silent backend server costs each daemon two openings at most")
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
