Daemons tell each other of failed requests; a request that waits too long counts as one

Cause: at a grown site one daemon sees a third of a request a second of each backend server, and learns of a missing answer when its caller gives up, after 1.5 s. Change: daemons tell the failures themselves (10 words a second at most) instead of verdicts; a whole answer counts for as many as this daemon's part of the traffic stands for, so that all run the same test. A request without progress for five service times, 150 ms at least, is a failure unless a standing queue, a suspicion or a cut explains it. Not done on purpose: a flow whose request waits at a server that was set aside is not reset; it may live, and a flow that lives is never reset.

--- a/src/spread/spread_messages.cpp
+++ b/src/spread/spread_messages.cpp
@@ -43,8 +43,9 @@
 std::optional<spread_message> decode_fault(std::span<const std::uint8_t> body)
 {
     const std::optional<fault_word> word = unpack_message<fault_word>(body);
-    return word && word->fault <= backend_fault::failing ? std::optional<spread_message>(*word)
-                                                         : std::nullopt;
+    return word && word->fault <= backend_fault::missing_answer
+               ? std::optional<spread_message>(*word)
+               : std::nullopt;
 }
 
 } // namespace
--- a/src/spread/spread_messages.hpp
+++ b/src/spread/spread_messages.hpp
@@ -21,8 +21,9 @@
 {
     // By a check of its own.
     silent,
-    // By the answers of requests.
-    failing
+    // By a request.
+    short_answer,
+    missing_answer
 };
 
 struct fault_word
--- a/src/tagged/answer_quality.cpp
+++ b/src/tagged/answer_quality.cpp
@@ -62,13 +62,13 @@
     return is_short ? answer_sign::short_answer : answer_sign::whole;
 }
 
-bool note_answer_sign(answer_record& record, answer_sign sign, const answer_limits& limits,
-                      millis now)
+bool note_answer_sign(answer_record& record, answer_sign sign, double stands_for,
+                      const answer_limits& limits, millis now)
 {
     switch (sign)
     {
     case answer_sign::whole:
-        record.doubt = std::max(0.0, record.doubt - limits.whole_weight);
+        record.doubt = std::max(0.0, record.doubt - limits.whole_weight * stands_for);
         record.repeats = record.doubt > 0 ? record.repeats : 0;
         return false;
     case answer_sign::short_answer:
@@ -87,17 +87,6 @@
     return true;
 }
 
-bool note_told_failing(answer_record& record, const answer_limits& limits, millis now)
-{
-    if (record.is_set_aside)
-    {
-        return false;
-    }
-    record.doubt = limits.set_aside_at;
-    set_aside(record, limits, now);
-    return true;
-}
-
 bool end_set_aside(answer_record& record, const answer_limits& limits, millis now)
 {
     if (!record.is_set_aside || now < record.set_aside_until)
--- a/src/tagged/answer_quality.hpp
+++ b/src/tagged/answer_quality.hpp
@@ -8,9 +8,11 @@
 // without any answer shorter still.
 //
 // Each answer is a sign for or against its backend server, summed up as in Page's test: two
-// failures among a few answers set it aside, two among many do not. It is tried again after a span,
-// when one failure is enough, and each time the span doubles. Being set aside is a cost, not a ban
-// (placement.hpp), and other daemons are told.
+// failures among a few answers set it aside, two among many do not. Where daemons are many each
+// sees few requests of a backend server, so that they tell each other of failures; whole answers,
+// of which there are many, are not told, but count for as many as this daemon's part of the traffic
+// stands for. One that was set aside is tried again after a span, when one failure is enough, and
+// each time the span doubles. Being set aside is a cost, not a ban (placement.hpp).
 #ifndef BRIARBARROW_TAGGED_ANSWER_QUALITY_HPP
 #define BRIARBARROW_TAGGED_ANSWER_QUALITY_HPP
 
@@ -36,10 +38,15 @@
     // one in 160 is short by nature.
     double short_weight = 4;
     double whole_weight = 0.4;
-    // A flow that fell silent may have moved to another daemon: worth less.
+    // A request without an answer may have met long work, or its flow moved to another daemon:
+    // worth less.
     double missing_weight = 2.5;
     // Sum from which a backend server is set aside: two short answers in a row, not one.
     double set_aside_at = 6;
+    // Failures that a daemon tells the others of. Unit: words per second. With 40 daemons told and
+    // 60 bytes a word, a burst of failures stays near the 3 KB/s of control of a daemon by the
+    // mean.
+    std::uint32_t words_per_second = 10;
     // Sum with which it is tried again: one short answer more is enough.
     double trial_at = 3;
     // How long it is set aside: the time of a health check's verdict, first and at most.
@@ -78,12 +85,11 @@
 // Judges an answer by its bytes, and learns from it.
 answer_sign judge_answer(answer_profile& profile, std::uint32_t bytes, const answer_limits& limits);
 
-// Takes a sign. True when it sets the backend server aside.
-bool note_answer_sign(answer_record& record, answer_sign sign, const answer_limits& limits,
-                      millis now);
-
-// Another daemon has set the backend server aside. True when that is news here.
-bool note_told_failing(answer_record& record, const answer_limits& limits, millis now);
+// Takes a sign, of this daemon's callers or told by another one. `stands_for` is the number of
+// answers of all daemons that one of this daemon's stands for. True when the sign sets the backend
+// server aside.
+bool note_answer_sign(answer_record& record, answer_sign sign, double stands_for,
+                      const answer_limits& limits, millis now);
 
 // Ends a span that is over: the backend server is on trial. True when it was set aside until now.
 bool end_set_aside(answer_record& record, const answer_limits& limits, millis now);
--- a/src/tagged/router_lists.cpp
+++ b/src/tagged/router_lists.cpp
@@ -65,14 +65,20 @@
     }
 }
 
-void hear_failing(router_state& state, const std::string& name, millis now)
+void hear_failure(router_state& state, const failure_sign& failure, millis now)
 {
-    const auto found = state.backends.by_name.find(name);
-    if (found != state.backends.by_name.end() &&
-        note_told_failing(state.backends.entries[found->second].evidence.answers,
-                          state.settings.answers, now))
+    const auto found = state.backends.by_name.find(failure.backend);
+    if (found == state.backends.by_name.end())
     {
-        state.beliefs.push_back({belief_kind::backend_set_aside, found->second, {}, "by=peer"});
+        return;
+    }
+    answer_record& record = state.backends.entries[found->second].evidence.answers;
+    if (note_answer_sign(record, failure.sign, 1, state.settings.answers, now))
+    {
+        state.beliefs.push_back({belief_kind::backend_set_aside,
+                                 found->second,
+                                 {},
+                                 "by=peer repeats=" + std::to_string(record.repeats)});
     }
 }
 
--- a/src/tagged/router_parts.hpp
+++ b/src/tagged/router_parts.hpp
@@ -23,8 +23,11 @@
 // True when a flow's caller is better off with a reset than with waiting on.
 bool should_give_up(const router_state& state, const remembered_flow& flow, millis now);
 
-// The request under way of a flow has been answered, or has come to its end without an answer, as
-// the bytes that its caller acknowledged show.
+// True while a flow's request is under way and its caller has acknowledged nothing of an answer.
+bool waits_for_answer(const remembered_flow& flow);
+
+// A flow's request has been answered, as the bytes that its caller acknowledged show, or has waited
+// for an answer longer than work and queues explain.
 void finish_answer(router_state& state, remembered_flow& flow, millis now);
 
 // A flow has ended: it is no work for its backend server any more.
--- a/src/tagged/router_upkeep.cpp
+++ b/src/tagged/router_upkeep.cpp
@@ -36,7 +36,7 @@
         }
         if (is_likely_abandoned(*flow, now))
         {
-            if (flow->has_request && flow->acknowledgement == flow->answer_begin)
+            if (waits_for_answer(*flow))
             {
                 finish_answer(state, *flow, now);
             }
@@ -46,6 +46,18 @@
     }
 }
 
+// True when a request may wait at a backend server although that one does its work.
+bool is_wait_explained(const router_state& state, const known_backend& backend)
+{
+    const auto queue = state.queues.find(backend.service);
+    const bool has_queue = queue != state.queues.end() && queue->second.memory.is_standing;
+    const bool is_out_of_reach =
+        std::any_of(state.zones.begin(), state.zones.end(),
+                    [&backend](const zone_view& zone)
+                    { return zone.is_out_of_reach && zone.zone == backend.notice.zone; });
+    return has_queue || is_out_of_reach || backend.evidence.is_suspected;
+}
+
 // Doubts backend servers at which a request makes no progress: one that holds such a flow is sent
 // no openings whose silence would show it.
 void review_busy(router_state& state, millis now)
@@ -55,7 +67,7 @@
     {
         const flow_key key = reviews.front().key;
         reviews.pop_front();
-        const remembered_flow* flow = find_flow(state, key);
+        remembered_flow* flow = find_flow(state, key);
         const bool is_busy = flow != nullptr && flow->stage == flow_stage::open &&
                              flow->backend != no_backend && !is_likely_abandoned(*flow, now);
         if (!is_busy)
@@ -67,11 +79,15 @@
             static_cast<std::int64_t>(stuck_factor * service_time(state, backend.service));
         const millis span = std::max(stuck_span, millis{usual});
         const millis since = std::max(flow->last_progress, state.awake_since);
-        if (is_stuck(*flow, span, now) && now >= since + span &&
-            note_doubt(backend, since, now, state.settings.suspicion))
+        const bool is_overdue = is_stuck(*flow, span, now) && now >= since + span;
+        if (is_overdue && note_doubt(backend, since, now, state.settings.suspicion))
         {
             state.doubted.push_back(flow->backend);
         }
+        if (is_overdue && waits_for_answer(*flow) && !is_wait_explained(state, backend))
+        {
+            finish_answer(state, *flow, now);
+        }
         reviews.push_back(flow_review{now + busy_review_span, key});
     }
 }
@@ -185,6 +201,7 @@
     const double placed = static_cast<double>(state.openings_since) / seconds;
     state.openings_per_s += rate_smoothing * (placed - state.openings_per_s);
     state.openings_since = 0;
+    state.failures_to_tell = state.settings.answers.words_per_second;
     for (known_backend& backend : state.backends.entries)
     {
         const double service = service_time(state, backend.service);
@@ -236,6 +253,11 @@
     return flow.kind != request_kind::at_most_once || backend.evidence.was_refused;
 }
 
+bool waits_for_answer(const remembered_flow& flow)
+{
+    return flow.is_answer_watched && flow.has_request && flow.acknowledgement == flow.answer_begin;
+}
+
 void finish_answer(router_state& state, remembered_flow& flow, millis now)
 {
     if (!flow.is_answer_watched || flow.backend == no_backend)
@@ -248,11 +270,17 @@
     const std::uint32_t bytes = flow.acknowledgement - flow.answer_begin;
     const answer_sign sign = judge_answer(profile, bytes, state.settings.answers);
     known_backend& backend = state.backends.entries[flow.backend];
-    if (!note_answer_sign(backend.evidence.answers, sign, state.settings.answers, now))
+    const bool is_told = sign != answer_sign::whole && state.failures_to_tell > 0;
+    if (is_told)
+    {
+        --state.failures_to_tell;
+        state.found_failures.push_back({backend.notice.name, sign});
+    }
+    if (!note_answer_sign(backend.evidence.answers, sign, 1 / state.own_part,
+                          state.settings.answers, now))
     {
         return;
     }
-    state.found_failing.push_back(backend.notice.name);
     const std::string_view sign_name = answer_sign_names[static_cast<std::size_t>(sign)];
     const auto usual = static_cast<std::int64_t>(std::exp(profile.log_mean));
     state.beliefs.push_back({belief_kind::backend_set_aside, flow.backend, flow.tuple,
@@ -293,8 +321,8 @@
     state.doubted.clear();
     orders.silent = std::move(state.found_silent);
     state.found_silent.clear();
-    orders.failing = std::move(state.found_failing);
-    state.found_failing.clear();
+    orders.failures = std::move(state.found_failures);
+    state.found_failures.clear();
     end_set_asides(state, now);
     give_up_stuck(state, now, orders);
     review_flows(state, now);
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -151,16 +151,23 @@
     std::uint32_t sequence = 0;
 };
 
+// A request that was answered short, or not at all.
+struct failure_sign
+{
+    std::string backend;
+    answer_sign sign = answer_sign::missing;
+};
+
 // What a tick wants done.
 struct router_orders
 {
     std::vector<own_reset> resets;
     // Backend servers to check by a connection.
     std::vector<backend_index> checks;
-    // Names of backend servers that other daemons should be told of: found silent by a check, and
-    // set aside for their answers.
+    // What other daemons should be told of: names of backend servers that a check found silent, and
+    // requests that failed.
     std::vector<std::string> silent;
-    std::vector<std::string> failing;
+    std::vector<failure_sign> failures;
 };
 
 // What a router is told once.
@@ -205,7 +212,8 @@
     // For the next tick's orders.
     std::vector<backend_index> doubted;
     std::vector<std::string> found_silent;
-    std::vector<std::string> found_failing;
+    std::vector<failure_sign> found_failures;
+    std::uint32_t failures_to_tell = 0;
     // When the lists were last known to be complete, and since when without a break.
     bool has_lists = false;
     millis lists_heard;
@@ -239,8 +247,8 @@
 // Another daemon has found a backend server silent. It is checked before it is believed.
 void hear_silence(router_state& state, const std::string& name, millis now);
 
-// Another daemon has set a backend server aside for its answers.
-void hear_failing(router_state& state, const std::string& name, millis now);
+// Another daemon has seen a request fail.
+void hear_failure(router_state& state, const failure_sign& failure, millis now);
 
 // Takes a newer list of routes; older ones are passed over.
 void take_route_list(router_state& state, const route_list& list);
--- a/src/testing/tagged_field.cpp
+++ b/src/testing/tagged_field.cpp
@@ -102,10 +102,11 @@
     void to_daemon(const field_request& request, const tagged_packet& packet);
     void handle(std::size_t daemon, const tagged_packet& packet);
     void tick(std::size_t daemon);
+    void count_beliefs(router_state& router);
     void tell_of_others(field_daemon& host) const;
     void check(std::size_t daemon, backend_index index);
-    using hearer = void (*)(router_state&, const std::string&, millis);
-    void tell_others(std::size_t daemon, const std::string& name, hearer hear);
+    using told = std::function<void(router_state&, millis)>;
+    void tell_others(std::size_t daemon, const told& hear);
     std::optional<std::size_t> place_plainly(std::size_t daemon, const tagged_packet& packet);
     void to_backend(std::size_t backend, const tagged_packet& packet, std::uint32_t tag);
     void answer_opening(std::size_t backend, const tagged_packet& packet, std::uint32_t tag);
@@ -457,7 +458,7 @@
     {
         const packet_decision decision =
             route_packet(this->daemons[daemon].router, packet, this->now());
-        this->daemons[daemon].router.beliefs.clear();
+        this->count_beliefs(this->daemons[daemon].router);
         if (decision.verdict == packet_verdict::reset)
         {
             this->reset(packet.tuple);
@@ -496,6 +497,16 @@
     }
 }
 
+void field::count_beliefs(router_state& router)
+{
+    for (const belief_change& change : router.beliefs)
+    {
+        const bool is_own = change.detail.starts_with("by=own");
+        this->report.set_asides += change.kind == belief_kind::backend_set_aside && is_own ? 1 : 0;
+    }
+    router.beliefs.clear();
+}
+
 void field::tick(std::size_t daemon)
 {
     if (this->now_us > (this->options.length_ms + 5'000) * us_per_ms)
@@ -519,7 +530,7 @@
     router_orders orders;
     tick_router(host.router, this->now(), orders);
     confirm_lists(host.router, this->now());
-    host.router.beliefs.clear();
+    this->count_beliefs(host.router);
     for (const own_reset& order : orders.resets)
     {
         this->reset(order.flow);
@@ -530,24 +541,25 @@
     }
     for (const std::string& name : orders.silent)
     {
-        this->tell_others(daemon, name, hear_silence);
+        this->tell_others(daemon, [name](router_state& router, millis now)
+                          { hear_silence(router, name, now); });
     }
-    for (const std::string& name : orders.failing)
+    for (const failure_sign& failure : orders.failures)
     {
-        ++this->report.set_asides;
-        this->tell_others(daemon, name, hear_failing);
+        this->tell_others(daemon, [failure](router_state& router, millis now)
+                          { hear_failure(router, failure, now); });
     }
 }
 
 // Word of a backend server reaches the daemons that are not cut off.
-void field::tell_others(std::size_t daemon, const std::string& name, hearer hear)
+void field::tell_others(std::size_t daemon, const told& hear)
 {
     for (std::size_t i = 0; i < this->daemons.size(); ++i)
     {
         if (i != daemon && !this->is_cut(this->daemons[daemon].zone, this->daemons[i].zone))
         {
             this->at(this->now_us + other_zone_link_us,
-                     [this, i, name, hear]() { hear(this->daemons[i].router, name, this->now()); });
+                     [this, i, hear]() { hear(this->daemons[i].router, this->now()); });
         }
     }
 }
@@ -636,6 +648,11 @@
     request->request_arrived = true;
     if (this->is_failing(backend))
     {
+        ++this->report.errors;
+        if (this->options.is_failing_mute)
+        {
+            return;
+        }
         this->at(this->now_us + error_us + caller_link_us,
                  [this, request]() { this->answer_error(request); });
         return;
@@ -707,7 +724,6 @@
     {
         return;
     }
-    ++this->report.errors;
     request->answer_bytes = error_bytes;
     this->close_flow(*request);
     if (request->once)
--- a/src/testing/tagged_field.hpp
+++ b/src/testing/tagged_field.hpp
@@ -66,6 +66,8 @@
     // Backend servers that answer this part of their requests at once with an error, looking well.
     field_span failing_backends;
     double failing_part = 0.5;
+    // They answer nothing instead of an error.
+    bool is_failing_mute = false;
     field_span cut_zones;
     field_span frozen_daemons;
     // All entries of the store lapse at this time and come back one by one within the span; 0 for
@@ -90,7 +92,7 @@
     field_outcome once;
     // Openings that were sent to a backend server while it was dark.
     std::uint64_t openings_into_dark = 0;
-    // Requests that were answered with an error.
+    // Requests that were answered with an error, or with nothing by a backend server that failed.
     std::uint64_t errors = 0;
     // Times that daemons set a backend server aside for its answers, by what they saw themselves.
     std::uint64_t set_asides = 0;
--- a/src/testing/tagged_field_test.cpp
+++ b/src/testing/tagged_field_test.cpp
@@ -158,6 +158,30 @@
     }
 }
 
+TEST_CASE("answers: where daemons are many, they tell each other of requests that fail")
+{
+    field_options failing;
+    failing.zones = 3;
+    failing.daemons = 36;
+    failing.backends = 120;
+    failing.idempotent_per_s = 1'138;
+    failing.once_per_s = 325;
+    failing.failing_backends = {3'000, 9'000, {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14}};
+    for (const bool is_mute : {false, true})
+    {
+        failing.is_failing_mute = is_mute;
+        const field_report ours = run_with(failing, field_policy::product, 1);
+        const field_report simple = run_with(failing, field_policy::fewest_flows, 1);
+        check_promises(ours);
+        // Each is tried twice more in six seconds. It takes two errors to set it aside, or three
+        // requests without an answer; those that are under way by then fail as well, and a missing
+        // answer takes 150 ms to be noticed, in which two more come.
+        const std::uint64_t found = is_mute ? 3 + 2 : 2;
+        CHECK(ours.errors <= failing.failing_backends.which.size() * (found + 2 * 2) * 2);
+        CHECK(ours.errors * 2 < simple.errors);
+    }
+}
+
 TEST_CASE("answers: lengths that vary by nature set next to nothing aside")
 {
     // One false alarm in 10,000 answers: at 400 requests a second each 25 s, and each takes one of
