Doubt about failing backend servers leaks; words bring recent whole answers; metrics on the settings' address

Daemons that send nothing to a backend server have no whole answers to set against the two short ones that they were told of within five seconds, and set it aside; and after all daemons had started anew, requests of the crowd that had waited counted as failures (16 false alarms within 0.7 s). Change: the sum loses 1 a second; a word brings the sender's whole answers of the last second; requests of the second after a start or standstill, and those behind a queue, are no failures; short answers are learned at a tenth of the weight.

--- a/src/report/tagged_metrics.cpp
+++ b/src/report/tagged_metrics.cpp
@@ -73,6 +73,10 @@
                       [](const known_backend& backend) { return backend.evidence.is_suspected; });
     add_metric(page, "backends", "", "", router.backends.by_name.size());
     add_metric(page, "backends_suspected", "", "", static_cast<std::uint64_t>(suspected));
+    const auto set_aside = std::count_if(
+        router.backends.entries.begin(), router.backends.entries.end(),
+        [](const known_backend& backend) { return backend.evidence.answers.is_set_aside; });
+    add_metric(page, "backends_set_aside", "", "", static_cast<std::uint64_t>(set_aside));
     add_metric(page, "flows_remembered", "", "", router.flows.flows.size());
     add_metric(page, "routes_version", "", "", router.routes.version);
     add_peers(page, source.known, now);
--- a/src/spread/spread_messages.cpp
+++ b/src/spread/spread_messages.cpp
@@ -21,7 +21,7 @@
                          v.whole_bytes, v.bytes)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::change_answer, v.number, v.has_list, v.list_age,
                          v.oldest_revision, v.revision, v.has_more, v.items)
-BRIARBARROW_PACK_MEMBERS(briarbarrow::fault_word, v.fault, v.backend)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::fault_word, v.fault, v.backend, v.answered_before)
 
 } // namespace adaptor
 } // MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
--- a/src/spread/spread_messages.hpp
+++ b/src/spread/spread_messages.hpp
@@ -30,6 +30,8 @@
 {
     backend_fault fault = backend_fault::silent;
     std::string backend;
+    // Requests that the sender has seen answered well since it told of this backend server last.
+    std::uint32_t answered_before = 0;
 
     friend bool operator==(const fault_word&, const fault_word&) = default;
 };
--- a/src/tagged/answer_quality.cpp
+++ b/src/tagged/answer_quality.cpp
@@ -11,6 +11,8 @@
 
 // Weight of one answer in what a route's answers look like, once some were learned.
 constexpr double profile_smoothing = 0.01;
+// The same for a short answer: a lasting change is learned, but in thousands of answers.
+constexpr double short_smoothing = 0.001;
 // What is farther off than so many deviations is learned as if it were not: failures must not pass
 // for what is usual.
 constexpr double most_learned_deviations = 2;
@@ -22,7 +24,7 @@
     return std::max(least_deviation, std::sqrt(profile.log_variance));
 }
 
-void learn(answer_profile& profile, double log_bytes, const answer_limits& limits)
+void learn(answer_profile& profile, double log_bytes, double smoothing, const answer_limits& limits)
 {
     ++profile.learned;
     double offset = log_bytes - profile.log_mean;
@@ -31,7 +33,7 @@
         const double most = most_learned_deviations * deviation_of(profile);
         offset = std::clamp(offset, -most, most);
     }
-    const double weight = std::max(profile_smoothing, 1.0 / profile.learned);
+    const double weight = std::max(smoothing, 1.0 / profile.learned);
     profile.log_mean += weight * offset;
     profile.log_variance += weight * ((1 - weight) * offset * offset - profile.log_variance);
 }
@@ -45,6 +47,44 @@
     ++record.repeats;
 }
 
+void leak(answer_record& record, const answer_limits& limits, millis now)
+{
+    const auto seconds = static_cast<double>((now - record.doubt_at).count) / 1'000;
+    record.doubt = std::max(0.0, record.doubt - limits.leak_per_second * seconds);
+    record.doubt_at = now;
+}
+
+void take_whole(answer_record& record, std::uint32_t count, const answer_limits& limits, millis now)
+{
+    leak(record, limits, now);
+    record.doubt = std::max(0.0, record.doubt - limits.whole_weight * count);
+    record.repeats = record.doubt > 0 ? record.repeats : 0;
+}
+
+// Forgets whole answers that are no longer recent.
+void forget_old_whole(answer_record& record, const answer_limits& limits, millis now)
+{
+    if (now > record.untold_since + limits.recent_span)
+    {
+        record.untold_whole = 0;
+        record.untold_since = now;
+    }
+}
+
+bool take_failure(answer_record& record, answer_sign sign, const answer_limits& limits, millis now)
+{
+    const double weight =
+        sign == answer_sign::short_answer ? limits.short_weight : limits.missing_weight;
+    leak(record, limits, now);
+    record.doubt = std::min(record.doubt + weight, limits.set_aside_at);
+    if (record.is_set_aside || record.doubt < limits.set_aside_at)
+    {
+        return false;
+    }
+    set_aside(record, limits, now);
+    return true;
+}
+
 } // namespace
 
 answer_sign judge_answer(answer_profile& profile, std::uint32_t bytes, const answer_limits& limits)
@@ -58,33 +98,37 @@
     const double bound = std::max(limits.short_deviations * deviation_of(profile),
                                   -std::log(limits.longest_short_part));
     const bool is_short = profile.learned >= limits.least_learned && below > bound;
-    learn(profile, log_bytes, limits);
+    learn(profile, log_bytes, is_short ? short_smoothing : profile_smoothing, limits);
     return is_short ? answer_sign::short_answer : answer_sign::whole;
 }
 
-bool note_answer_sign(answer_record& record, answer_sign sign, double stands_for,
-                      const answer_limits& limits, millis now)
+bool note_answer_sign(answer_record& record, answer_sign sign, const answer_limits& limits,
+                      millis now)
 {
-    switch (sign)
-    {
-    case answer_sign::whole:
-        record.doubt = std::max(0.0, record.doubt - limits.whole_weight * stands_for);
-        record.repeats = record.doubt > 0 ? record.repeats : 0;
-        return false;
-    case answer_sign::short_answer:
-        record.doubt += limits.short_weight;
-        break;
-    case answer_sign::missing:
-        record.doubt += limits.missing_weight;
-        break;
-    }
-    record.doubt = std::min(record.doubt, limits.set_aside_at);
-    if (record.is_set_aside || record.doubt < limits.set_aside_at)
+    if (sign == answer_sign::whole)
     {
+        take_whole(record, 1, limits, now);
+        forget_old_whole(record, limits, now);
+        ++record.untold_whole;
         return false;
     }
-    set_aside(record, limits, now);
-    return true;
+    return take_failure(record, sign, limits, now);
+}
+
+failure_sign tell_failure(answer_record& record, answer_sign sign, const answer_limits& limits,
+                          millis now)
+{
+    forget_old_whole(record, limits, now);
+    const failure_sign told{sign, record.untold_whole};
+    record.untold_whole = 0;
+    return told;
+}
+
+bool note_told_failure(answer_record& record, const failure_sign& failure,
+                       const answer_limits& limits, millis now)
+{
+    take_whole(record, failure.whole_before, limits, now);
+    return take_failure(record, failure.sign, limits, now);
 }
 
 bool end_set_aside(answer_record& record, const answer_limits& limits, millis now)
@@ -95,6 +139,7 @@
     }
     record.is_set_aside = false;
     record.doubt = limits.trial_at;
+    record.doubt_at = now;
     return true;
 }
 
--- a/src/tagged/answer_quality.hpp
+++ b/src/tagged/answer_quality.hpp
@@ -9,10 +9,11 @@
 //
 // Each answer is a sign for or against its backend server, summed up as in Page's test: two
 // failures among a few answers set it aside, two among many do not. Where daemons are many each
-// sees few requests of a backend server, so that they tell each other of failures; whole answers,
-// of which there are many, are not told, but count for as many as this daemon's part of the traffic
-// stands for. One that was set aside is tried again after a span, when one failure is enough, and
-// each time the span doubles. Being set aside is a cost, not a ban (placement.hpp).
+// sees few requests of a backend server, so that they tell each other of failures, with the number
+// of whole answers of the last second. The sum leaks, since a daemon that sends nothing to a
+// backend server has no whole answers to set against what it is told. One that was set aside is
+// tried again after a span, when one failure is enough, and each time the span doubles. Being set
+// aside is a cost, not a ban (placement.hpp).
 #ifndef BRIARBARROW_TAGGED_ANSWER_QUALITY_HPP
 #define BRIARBARROW_TAGGED_ANSWER_QUALITY_HPP
 
@@ -43,12 +44,17 @@
     double missing_weight = 2.5;
     // Sum from which a backend server is set aside: two short answers in a row, not one.
     double set_aside_at = 6;
+    // What the sum loses by itself. Unit: per second. Short answers by nature come to a backend
+    // server of the users' sites each 20 s; two of them are no failure.
+    double leak_per_second = 1;
+    // Whole answers this old say nothing of a fault that has just begun.
+    millis recent_span{1'000};
     // Failures that a daemon tells the others of. Unit: words per second. With 40 daemons told and
     // 60 bytes a word, a burst of failures stays near the 3 KB/s of control of a daemon by the
     // mean.
     std::uint32_t words_per_second = 10;
-    // Sum with which it is tried again: one short answer more is enough.
-    double trial_at = 3;
+    // Sum with which it is tried again: one short answer within three seconds is enough.
+    double trial_at = 5;
     // How long it is set aside: the time of a health check's verdict, first and at most.
     millis first_span{3'000};
     millis longest_span{12'000};
@@ -76,20 +82,39 @@
 struct answer_record
 {
     double doubt = 0;
+    // When the sum last changed.
+    millis doubt_at;
     bool is_set_aside = false;
     millis set_aside_until;
     // Times in a row, without as many whole answers between them as clear the sum.
     std::uint32_t repeats = 0;
+    // Whole answers that other daemons have not been told of, and since when.
+    std::uint32_t untold_whole = 0;
+    millis untold_since;
+};
+
+// A request that failed, as one daemon tells it to another.
+struct failure_sign
+{
+    answer_sign sign = answer_sign::missing;
+    // Recent whole answers of the backend server that the sender has not told of.
+    std::uint32_t whole_before = 0;
 };
 
 // Judges an answer by its bytes, and learns from it.
 answer_sign judge_answer(answer_profile& profile, std::uint32_t bytes, const answer_limits& limits);
 
-// Takes a sign, of this daemon's callers or told by another one. `stands_for` is the number of
-// answers of all daemons that one of this daemon's stands for. True when the sign sets the backend
-// server aside.
-bool note_answer_sign(answer_record& record, answer_sign sign, double stands_for,
-                      const answer_limits& limits, millis now);
+// Takes a sign of this daemon's own callers. True when it sets the backend server aside.
+bool note_answer_sign(answer_record& record, answer_sign sign, const answer_limits& limits,
+                      millis now);
+
+// What to tell the others of a failure that was noted.
+failure_sign tell_failure(answer_record& record, answer_sign sign, const answer_limits& limits,
+                          millis now);
+
+// Takes word of a failure that another daemon has seen. True when it sets the backend server aside.
+bool note_told_failure(answer_record& record, const failure_sign& failure,
+                       const answer_limits& limits, millis now);
 
 // Ends a span that is over: the backend server is on trial. True when it was set aside until now.
 bool end_set_aside(answer_record& record, const answer_limits& limits, millis now);
--- a/src/tagged/router_lists.cpp
+++ b/src/tagged/router_lists.cpp
@@ -65,15 +65,15 @@
     }
 }
 
-void hear_failure(router_state& state, const failure_sign& failure, millis now)
+void hear_failure(router_state& state, const seen_failure& told, millis now)
 {
-    const auto found = state.backends.by_name.find(failure.backend);
+    const auto found = state.backends.by_name.find(told.backend);
     if (found == state.backends.by_name.end())
     {
         return;
     }
     answer_record& record = state.backends.entries[found->second].evidence.answers;
-    if (note_answer_sign(record, failure.sign, 1, state.settings.answers, now))
+    if (note_told_failure(record, told.failure, state.settings.answers, now))
     {
         state.beliefs.push_back({belief_kind::backend_set_aside,
                                  found->second,
--- a/src/tagged/router_parts.hpp
+++ b/src/tagged/router_parts.hpp
@@ -8,6 +8,10 @@
 namespace briarbarrow
 {
 
+// What a daemon needs to work off the callers that waited out a standstill or its start: their
+// longest timeout.
+constexpr millis crowd_span{1'000};
+
 // True when the lists were confirmed lately, so that what they do not hold is not there.
 bool has_fresh_lists(const router_state& state, millis now);
 
--- a/src/tagged/router_upkeep.cpp
+++ b/src/tagged/router_upkeep.cpp
@@ -17,6 +17,31 @@
 // Weight of the last second in the smoothed rate of openings.
 constexpr double rate_smoothing = 0.5;
 
+// True when a flow's request may wait at its backend server although that one does its work: there
+// is a queue, or a crowd of callers that waited for this daemon, or the way there is cut.
+bool is_wait_explained(const router_state& state, const remembered_flow& flow, millis now)
+{
+    const known_backend& backend = state.backends.entries[flow.backend];
+    const bool is_of_crowd = flow.opened < state.awake_since + crowd_span;
+    const auto queue = state.queues.find(backend.service);
+    const bool has_queue =
+        queue != state.queues.end() && now < queue->second.memory.busy_at + flow.timeout;
+    const bool is_out_of_reach =
+        std::any_of(state.zones.begin(), state.zones.end(),
+                    [&backend](const zone_view& zone)
+                    { return zone.is_out_of_reach && zone.zone == backend.notice.zone; });
+    return is_of_crowd || has_queue || is_out_of_reach || backend.evidence.is_suspected;
+}
+
+// A request without an answer for longer than usual, or whose caller has given up.
+void review_missing_answer(router_state& state, remembered_flow& flow, millis now)
+{
+    if (waits_for_answer(flow) && !is_wait_explained(state, flow, now))
+    {
+        finish_answer(state, flow, now);
+    }
+}
+
 void review_flows(router_state& state, millis now)
 {
     std::deque<flow_review>& reviews = state.flows.reviews;
@@ -36,28 +61,13 @@
         }
         if (is_likely_abandoned(*flow, now))
         {
-            if (waits_for_answer(*flow))
-            {
-                finish_answer(state, *flow, now);
-            }
+            review_missing_answer(state, *flow, now);
             uncount_flow(state.backends, *flow);
         }
         reviews.push_back(flow_review{now + flow_review_span, key});
     }
 }
 
-// True when a request may wait at a backend server although that one does its work.
-bool is_wait_explained(const router_state& state, const known_backend& backend)
-{
-    const auto queue = state.queues.find(backend.service);
-    const bool has_queue = queue != state.queues.end() && queue->second.memory.is_standing;
-    const bool is_out_of_reach =
-        std::any_of(state.zones.begin(), state.zones.end(),
-                    [&backend](const zone_view& zone)
-                    { return zone.is_out_of_reach && zone.zone == backend.notice.zone; });
-    return has_queue || is_out_of_reach || backend.evidence.is_suspected;
-}
-
 // Doubts backend servers at which a request makes no progress: one that holds such a flow is sent
 // no openings whose silence would show it.
 void review_busy(router_state& state, millis now)
@@ -84,9 +94,9 @@
         {
             state.doubted.push_back(flow->backend);
         }
-        if (is_overdue && waits_for_answer(*flow) && !is_wait_explained(state, backend))
+        if (is_overdue)
         {
-            finish_answer(state, *flow, now);
+            review_missing_answer(state, *flow, now);
         }
         reviews.push_back(flow_review{now + busy_review_span, key});
     }
@@ -270,14 +280,15 @@
     const std::uint32_t bytes = flow.acknowledgement - flow.answer_begin;
     const answer_sign sign = judge_answer(profile, bytes, state.settings.answers);
     known_backend& backend = state.backends.entries[flow.backend];
-    const bool is_told = sign != answer_sign::whole && state.failures_to_tell > 0;
-    if (is_told)
+    answer_record& record = backend.evidence.answers;
+    const bool is_news = note_answer_sign(record, sign, state.settings.answers, now);
+    if (sign != answer_sign::whole && state.failures_to_tell > 0)
     {
         --state.failures_to_tell;
-        state.found_failures.push_back({backend.notice.name, sign});
+        state.found_failures.push_back(
+            {backend.notice.name, tell_failure(record, sign, state.settings.answers, now)});
     }
-    if (!note_answer_sign(backend.evidence.answers, sign, 1 / state.own_part,
-                          state.settings.answers, now))
+    if (!is_news)
     {
         return;
     }
@@ -286,7 +297,7 @@
     state.beliefs.push_back({belief_kind::backend_set_aside, flow.backend, flow.tuple,
                              "by=own sign=" + std::string(sign_name) + " answer_bytes=" +
                                  std::to_string(bytes) + " usual_bytes=" + std::to_string(usual) +
-                                 " repeats=" + std::to_string(backend.evidence.answers.repeats)});
+                                 " repeats=" + std::to_string(record.repeats)});
 }
 
 void end_flow(router_state& state, remembered_flow& flow)
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -16,8 +16,6 @@
 // nor a wrong first measurement last.
 constexpr double calm_smoothing = 0.03;
 constexpr double drift_smoothing = 0.0005;
-// What a daemon needs to work off the callers that waited out a standstill: their longest timeout.
-constexpr millis crowd_span{1'000};
 
 packet_decision decide(packet_verdict verdict, verdict_reason reason)
 {
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -151,11 +151,11 @@
     std::uint32_t sequence = 0;
 };
 
-// A request that was answered short, or not at all.
-struct failure_sign
+// A request that a backend server failed.
+struct seen_failure
 {
     std::string backend;
-    answer_sign sign = answer_sign::missing;
+    failure_sign failure;
 };
 
 // What a tick wants done.
@@ -167,7 +167,7 @@
     // What other daemons should be told of: names of backend servers that a check found silent, and
     // requests that failed.
     std::vector<std::string> silent;
-    std::vector<failure_sign> failures;
+    std::vector<seen_failure> failures;
 };
 
 // What a router is told once.
@@ -212,7 +212,7 @@
     // For the next tick's orders.
     std::vector<backend_index> doubted;
     std::vector<std::string> found_silent;
-    std::vector<failure_sign> found_failures;
+    std::vector<seen_failure> found_failures;
     std::uint32_t failures_to_tell = 0;
     // When the lists were last known to be complete, and since when without a break.
     bool has_lists = false;
@@ -248,7 +248,7 @@
 void hear_silence(router_state& state, const std::string& name, millis now);
 
 // Another daemon has seen a request fail.
-void hear_failure(router_state& state, const failure_sign& failure, millis now);
+void hear_failure(router_state& state, const seen_failure& told, millis now);
 
 // Takes a newer list of routes; older ones are passed over.
 void take_route_list(router_state& state, const route_list& list);
--- a/src/testing/platform_codec_test.cpp
+++ b/src/testing/platform_codec_test.cpp
@@ -298,6 +298,12 @@
     REQUIRE(settings.value().seeds.size() == 2);
     CHECK(to_string(settings.value().seeds[1]) == "10.2.0.40:7720");
     CHECK(settings.value().stop_grace == millis{6'000});
+    REQUIRE(settings.value().metrics);
+    CHECK(to_string(*settings.value().metrics) == "10.1.0.10:7735");
+    const settings_file one_port(with(good_settings, "[7720,7735]", "[7720]"));
+    const auto without_page = read_machine_settings(one_port.path);
+    REQUIRE(without_page);
+    CHECK_FALSE(without_page.value().metrics);
 }
 
 TEST_CASE("faults in the settings are told together, with file and line")
--- a/src/testing/tag_router_test.cpp
+++ b/src/testing/tag_router_test.cpp
@@ -119,6 +119,7 @@
             tick_router(this->router, this->now, orders);
             all.resets.insert(all.resets.end(), orders.resets.begin(), orders.resets.end());
             all.checks.insert(all.checks.end(), orders.checks.begin(), orders.checks.end());
+            all.failures.insert(all.failures.end(), orders.failures.begin(), orders.failures.end());
         }
         return all;
     }
@@ -407,6 +408,33 @@
     CHECK(told.silent == std::vector<std::string>{name});
 }
 
+// Sends a flow's opening and request, and lets it wait without an answer.
+backend_index wait_unanswered(field& all)
+{
+    const tagged_packet opened = all.opening(orders_address);
+    const packet_decision placed = all.take(opened);
+    all.take(field::data(opened, placed.tag));
+    all.run(400);
+    return placed.backend;
+}
+
+TEST_CASE("a request that waits too long is told as a failure, not one of the crowd after a start")
+{
+    field all;
+    wait_unanswered(all);
+    CHECK(std::all_of(all.router.backends.entries.begin(), all.router.backends.entries.end(),
+                      [](const known_backend& backend)
+                      { return backend.evidence.answers.doubt == 0; }));
+    all.run(2'000);
+    const tagged_packet opened = all.opening(orders_address);
+    const packet_decision placed = all.take(opened);
+    all.take(field::data(opened, placed.tag));
+    const router_orders orders = all.run(400);
+    REQUIRE(orders.failures.size() == 1);
+    CHECK(orders.failures[0].backend == all.backend(placed.backend).notice.name);
+    CHECK(orders.failures[0].failure.sign == answer_sign::missing);
+}
+
 TEST_CASE("word of silence is checked, not believed, and own newer answers go before it")
 {
     field all;
--- a/src/testing/tagged_field.cpp
+++ b/src/testing/tagged_field.cpp
@@ -544,7 +544,7 @@
         this->tell_others(daemon, [name](router_state& router, millis now)
                           { hear_silence(router, name, now); });
     }
-    for (const failure_sign& failure : orders.failures)
+    for (const seen_failure& failure : orders.failures)
     {
         this->tell_others(daemon, [failure](router_state& router, millis now)
                           { hear_failure(router, failure, now); });
