Failures are told until a backend server is set aside, not after; one place for "zone out of reach"

Where all of a service fails, each daemon would have told 10 failures a second to 40 others for as long as it lasts (24 KB/s, eight times the budget of control); the test for a zone out of reach stood in three places; what was learned of answers stayed when its route was gone. Change: nothing more is told of a backend server that is set aside already; one function; profiles go with their routes.

--- a/src/tagged/answer_quality.hpp
+++ b/src/tagged/answer_quality.hpp
@@ -49,13 +49,14 @@
     double leak_per_second = 1;
     // Whole answers this old say nothing of a fault that has just begun.
     millis recent_span{1'000};
-    // Failures that a daemon tells the others of. Unit: words per second. With 40 daemons told and
-    // 60 bytes a word, a burst of failures stays near the 3 KB/s of control of a daemon by the
-    // mean.
+    // Failures that a daemon tells the others of. Unit: words per second. To 40 daemons at 60 bytes
+    // a word that is 24 KB/s, in the second or two until a failing backend server is set aside;
+    // of one that is set aside no more is told.
     std::uint32_t words_per_second = 10;
     // Sum with which it is tried again: one short answer within three seconds is enough.
     double trial_at = 5;
-    // How long it is set aside: the time of a health check's verdict, first and at most.
+    // How long it is set aside, at first and at most. Three seconds is the bound within which a
+    // drain has to be in force, too.
     millis first_span{3'000};
     millis longest_span{12'000};
 };
--- a/src/tagged/placement.cpp
+++ b/src/tagged/placement.cpp
@@ -26,10 +26,7 @@
 bool is_doubtful(const known_backend& candidate, const placement_request& request)
 {
     return candidate.evidence.is_suspected ||
-           (request.zones != nullptr &&
-            std::any_of(request.zones->begin(), request.zones->end(),
-                        [&candidate](const zone_view& zone)
-                        { return zone.is_out_of_reach && zone.zone == candidate.notice.zone; }));
+           (request.zones != nullptr && is_out_of_reach(*request.zones, candidate.notice.zone));
 }
 
 // False for a candidate that must not be given a flow, whatever the others cost.
--- a/src/tagged/router_lists.cpp
+++ b/src/tagged/router_lists.cpp
@@ -87,6 +87,8 @@
     const std::uint64_t before = state.routes.version;
     if (take_routes(state.routes, list))
     {
+        std::erase_if(state.answers, [&state](const auto& learned)
+                      { return find_route(state.routes, learned.first) == nullptr; });
         state.beliefs.push_back({belief_kind::routes_taken,
                                  no_backend,
                                  {},
--- a/src/tagged/router_upkeep.cpp
+++ b/src/tagged/router_upkeep.cpp
@@ -26,11 +26,8 @@
     const auto queue = state.queues.find(backend.service);
     const bool has_queue =
         queue != state.queues.end() && now < queue->second.memory.busy_at + flow.timeout;
-    const bool is_out_of_reach =
-        std::any_of(state.zones.begin(), state.zones.end(),
-                    [&backend](const zone_view& zone)
-                    { return zone.is_out_of_reach && zone.zone == backend.notice.zone; });
-    return is_of_crowd || has_queue || is_out_of_reach || backend.evidence.is_suspected;
+    return is_of_crowd || has_queue || backend.evidence.is_suspected ||
+           is_out_of_reach(state.zones, backend.notice.zone);
 }
 
 // A request without an answer for longer than usual, or whose caller has given up.
@@ -281,8 +278,9 @@
     const answer_sign sign = judge_answer(profile, bytes, state.settings.answers);
     known_backend& backend = state.backends.entries[flow.backend];
     answer_record& record = backend.evidence.answers;
+    const bool is_known = record.is_set_aside;
     const bool is_news = note_answer_sign(record, sign, state.settings.answers, now);
-    if (sign != answer_sign::whole && state.failures_to_tell > 0)
+    if (sign != answer_sign::whole && !is_known && state.failures_to_tell > 0)
     {
         --state.failures_to_tell;
         state.found_failures.push_back(
--- a/src/tagged/suspicion.cpp
+++ b/src/tagged/suspicion.cpp
@@ -56,6 +56,13 @@
     return fresh;
 }
 
+bool is_out_of_reach(const zone_views& zones, std::string_view zone)
+{
+    return std::any_of(zones.begin(), zones.end(),
+                       [zone](const zone_view& entry)
+                       { return entry.is_out_of_reach && entry.zone == zone; });
+}
+
 void learn_answer_time(zone_views& zones, std::string_view zone, millis span)
 {
     const auto measured = static_cast<double>(span.count);
--- a/src/tagged/suspicion.hpp
+++ b/src/tagged/suspicion.hpp
@@ -76,6 +76,9 @@
 // The view of a zone, which is added when it is new.
 zone_view& view_of(zone_views& zones, std::string_view zone);
 
+// True when a zone is out of reach as a whole.
+bool is_out_of_reach(const zone_views& zones, std::string_view zone);
+
 // Takes note of an answer to an opening.
 void learn_answer_time(zone_views& zones, std::string_view zone, millis span);
 
--- a/src/testing/tag_router_test.cpp
+++ b/src/testing/tag_router_test.cpp
@@ -435,6 +435,29 @@
     CHECK(orders.failures[0].failure.sign == answer_sign::missing);
 }
 
+TEST_CASE("failures of a backend server that is set aside are told no more")
+{
+    field all;
+    all.run(2'000);
+    // Only one serves, with slots for all, and never answers.
+    known_backend& mute = all.backend(all.router.backends.by_name.at("i-01"));
+    mute.notice.slots = 20;
+    lose_backend(all.router, "i-02", all.now);
+    lose_backend(all.router, "i-03", all.now);
+    all.run(2'200);
+    std::vector<tagged_packet> opened;
+    for (int i = 0; i < 6; ++i)
+    {
+        opened.push_back(all.opening(orders_address));
+        const packet_decision placed = all.take(opened.back());
+        REQUIRE(placed.verdict == packet_verdict::forward);
+        all.take(field::data(opened.back(), placed.tag));
+    }
+    const router_orders orders = all.run(600);
+    CHECK(orders.failures.size() == 3);
+    CHECK(mute.evidence.answers.is_set_aside);
+}
+
 TEST_CASE("word of silence is checked, not believed, and own newer answers go before it")
 {
     field all;
