--- a/src/testing/tagged_field_test.cpp
+++ b/src/testing/tagged_field_test.cpp
@@ -131,7 +131,7 @@
         check_promises(ours);
         CAPTURE(seed);
         CHECK(missed(ours) * 3 < missed(simple));
-        // Seed 5: an order's flow opened 4 ms before the cut, its data came after.
+        // Seed 5: an order began 4 ms before the cut; its flow opened and its data met the cut.
         CHECK(ours.once.failed + ours.idempotent.failed == ours.once_lost_in_cut);
         CHECK(ours.once_lost_in_cut <= 1);
         // Five seconds, and one check of each cut-off zone each second and daemon, after quicker
