Wait estimate learned from answered flows; opening packets are deferred while a queue is young

The daemon that returns first from a power loss places the backlog of the whole fleet; the network then hands these flows to the others, so it never sees them end and counts them for the callers' timeout (2.5 s): it refuses everything at an estimated 640 ms while slots are free. Other daemons multiply their own count by 1/share, which leads to estimates of over a second where a queue can't hold more than 236 ms. Each refusal uses up one of a caller's three attempts at once. Change: wait_estimate: the factor for unseen flows is learned from the lifetimes of answered flows; a flow that lasts twice as long as expected counts no longer; without an answer for 300 ms the estimate holds nobody back. Errors and refusals don't count as processing times. In a queue younger than the callers' timeout what exceeds the limit is deferred (dropped, so that it is sent again), and its last copy is admitted; in an older one it is refused at once.

--- a/src/tagged/admission.cpp
+++ b/src/tagged/admission.cpp
@@ -6,36 +6,62 @@
 namespace
 {
 
-double max_wait_ms(const route& requested, bool is_standing, const admission_limits& limits)
+bool is_urgent(const route& requested, const admission_limits& limits)
 {
-    const bool is_urgent = requested.priority <= limits.urgent_priority;
-    if (is_standing)
-    {
-        const double share =
-            is_urgent ? limits.urgent_objective_share : limits.ordinary_objective_share;
-        return share * static_cast<double>(requested.objective.count);
-    }
-    const double share = is_urgent ? limits.urgent_timeout_share : limits.ordinary_timeout_share;
+    return requested.priority <= limits.urgent_priority;
+}
+
+// The longest wait with which a flow's caller can still expect an answer.
+double max_useful_wait_ms(const route& requested, const admission_limits& limits)
+{
+    const double share =
+        is_urgent(requested, limits) ? limits.urgent_timeout_share : limits.ordinary_timeout_share;
     return share * static_cast<double>(requested.timeout.count);
 }
 
+// The longest wait that a standing queue is kept to.
+double max_standing_wait_ms(const route& requested, const admission_limits& limits)
+{
+    const double share = is_urgent(requested, limits) ? limits.urgent_objective_share
+                                                      : limits.ordinary_objective_share;
+    return share * static_cast<double>(requested.objective.count);
+}
+
 } // namespace
 
-bool admit_flow(queue_history& history, const route& requested, double wait_ms,
-                const admission_limits& limits, millis now)
+admission_verdict admit_flow(queue_history& history, const route& requested,
+                             const admission_request& request, const admission_limits& limits,
+                             millis now)
 {
     const double drained_ms =
         limits.drained_objective_share * static_cast<double>(requested.objective.count);
     const bool was_idle = now > history.last_flow + limits.standing_queue_interval;
-    const bool is_drained = wait_ms <= drained_ms || was_idle;
+    const bool is_drained = request.wait_ms <= drained_ms || was_idle;
     (is_drained ? history.last_drained : history.last_backlogged) = now;
     history.last_flow = now;
     const millis since = history.is_standing ? history.last_backlogged : history.last_drained;
     if (now > since + limits.standing_queue_interval)
     {
         history.is_standing = !history.is_standing;
+        history.standing_since = now;
+    }
+    if (now > request.last_answer + limits.evidence_lifetime)
+    {
+        return admission_verdict::admit;
+    }
+    if (request.wait_ms > max_useful_wait_ms(requested, limits))
+    {
+        return admission_verdict::refuse;
+    }
+    if (!history.is_standing || request.wait_ms <= max_standing_wait_ms(requested, limits))
+    {
+        return admission_verdict::admit;
+    }
+    if (now > history.standing_since + requested.timeout)
+    {
+        return admission_verdict::refuse;
     }
-    return wait_ms <= max_wait_ms(requested, history.is_standing, limits);
+    return request.is_last_transmission ? admission_verdict::admit : admission_verdict::defer;
 }
 
 } // namespace briarbarrow
--- a/src/tagged/admission.hpp
+++ b/src/tagged/admission.hpp
@@ -3,8 +3,20 @@
 // The load it is made for: more requests than the backend servers can process. A short burst fills
 // the queues only briefly, and a late answer is better than none. A standing queue makes every
 // answer late without serving more requests (as in CoDel): the wait is then kept so short that
-// admitted requests are answered in time, and the less urgent ones are refused first. In either
-// case a request whose wait alone would outlast its caller's timeout is refused at once.
+// admitted requests are answered in time, and the less urgent ones yield.
+//
+// What is not admitted is deferred or refused. A queue that is younger than the callers' timeout
+// may be the backlog of a pause, which will pass; refusing would use up the callers' attempts in
+// milliseconds. A deferred opening packet is dropped, and the caller sends it again after a
+// fraction of a second; its last retransmission is admitted. In a queue that has stood for longer
+// than callers wait, there is no room for what would come back, so a flow is refused at once, as is
+// one whose wait alone would outlast its caller's timeout.
+//
+// The expected wait is computed from open flows, which are known only in part: other daemons open
+// flows at the same backend servers, and the network may hand a flow's packets to another daemon,
+// which then sees its end. So the wait of answered requests corrects the estimate, and without
+// recent answers it holds nobody back: a daemon that refuses everything gets no more answers and
+// therefore soon admits flows again, which show the state of the queue.
 #ifndef BRIARBARROW_TAGGED_ADMISSION_HPP
 #define BRIARBARROW_TAGGED_ADMISSION_HPP
 
@@ -29,6 +41,8 @@
     // A queue that has not been drained for this long is standing, and one that has stayed drained
     // for this long is no longer: several objectives.
     millis standing_queue_interval{300};
+    // The expected wait counts for this long after a request was answered.
+    millis evidence_lifetime{300};
     // Routes of this priority and below it (0 is the most urgent) count as urgent.
     std::uint32_t urgent_priority = 1;
 };
@@ -37,6 +51,8 @@
 struct queue_history
 {
     bool is_standing = false;
+    // Since when it has been standing, or not.
+    millis standing_since;
     // When a new flow last found the queue drained, or was the first one after an idle time.
     millis last_drained;
     // When a new flow last found the queue not drained.
@@ -44,10 +60,30 @@
     millis last_flow;
 };
 
-// True when a flow whose expected wait for a slot is `wait_ms` is admitted. Updates the history
-// with that wait.
-bool admit_flow(queue_history& history, const route& requested, double wait_ms,
-                const admission_limits& limits, millis now);
+// What to do with a new flow.
+enum class admission_verdict : std::uint8_t
+{
+    admit,
+    // Drop the opening packet; the caller will send it again.
+    defer,
+    refuse
+};
+
+// A new flow that asks to be admitted.
+struct admission_request
+{
+    // Expected wait for a slot. Unit: milliseconds.
+    double wait_ms = 0;
+    // When a request of the service was last answered.
+    millis last_answer;
+    // True if the caller won't send this opening packet again.
+    bool is_last_transmission = false;
+};
+
+// Decides about a new flow of a route, and updates the history with its wait.
+admission_verdict admit_flow(queue_history& history, const route& requested,
+                             const admission_request& request, const admission_limits& limits,
+                             millis now);
 
 } // namespace briarbarrow
 
--- a/src/tagged/flow_memory.cpp
+++ b/src/tagged/flow_memory.cpp
@@ -83,6 +83,11 @@
     return flow.stage == flow_stage::open && now >= flow.last_progress + stall_timeout;
 }
 
+bool is_load_expired(const remembered_flow& flow, millis now)
+{
+    return flow.stage == flow_stage::open && now > flow.last_progress + flow.load_lifetime;
+}
+
 bool is_likely_abandoned(const remembered_flow& flow, millis now)
 {
     return now > flow.last_packet + flow.timeout;
--- a/src/tagged/flow_memory.hpp
+++ b/src/tagged/flow_memory.hpp
@@ -64,6 +64,10 @@
     std::uint32_t answer_begin = 0;
     // The caller's timeout.
     millis timeout{1'000};
+    // Expected wait for a slot at its placement. Unit: milliseconds.
+    double expected_wait_ms = 0;
+    // The flow counts as load for this long without progress.
+    millis load_lifetime;
     millis first_seen;
     millis opened;
     millis last_packet;
@@ -115,6 +119,10 @@
 // True when an open flow has made no progress for the given time.
 bool is_stalled(const remembered_flow& flow, millis stall_timeout, millis now);
 
+// True when a flow has made no progress for longer than its request should take. Its packets have
+// likely moved to another daemon, which sees its end.
+bool is_load_expired(const remembered_flow& flow, millis now);
+
 // True when a flow's caller has likely given up.
 bool is_likely_abandoned(const remembered_flow& flow, millis now);
 
--- a/src/tagged/placement.cpp
+++ b/src/tagged/placement.cpp
@@ -95,16 +95,6 @@
     return load;
 }
 
-double service_wait_ms(const service_load& load, double peer_open_flows, double uncontended_ms)
-{
-    if (load.slots == 0)
-    {
-        return 0;
-    }
-    const double ahead = load.open_flows + peer_open_flows + 1 - load.slots;
-    return std::max(0.0, ahead) * uncontended_ms / load.slots;
-}
-
 std::optional<double> cost_ms(const known_backend& candidate, const placement_request& request,
                               const placement_weights& weights, millis now)
 {
--- a/src/tagged/placement.hpp
+++ b/src/tagged/placement.hpp
@@ -23,6 +23,7 @@
 
 #include "tagged/backend_directory.hpp"
 #include "tagged/suspicion.hpp"
+#include "tagged/wait_estimate.hpp"
 
 namespace briarbarrow
 {
@@ -102,23 +103,11 @@
 // Expected wait for a slot behind the given number of flows. Unit: milliseconds.
 double expected_wait_ms(const known_backend& candidate, std::uint32_t flows, double service_ms);
 
-// Slots and open flows of a service's responsive backend servers that are serving or, during a mass
+// Sums up the load of a service's responsive backend servers that are serving or, during a mass
 // expiry, recently unlisted.
-struct service_load
-{
-    double slots = 0;
-    double open_flows = 0;
-};
-
-// Sums up the load of a service.
 service_load compute_service_load(const backend_directory& directory, service_id service,
                                   const service_conditions& conditions, millis now);
 
-// Expected wait of a new flow of a service for a slot. `peer_open_flows` are the open flows of
-// other daemons, and `uncontended_ms` is the lifetime of a flow that finds no queue. Unit:
-// milliseconds.
-double service_wait_ms(const service_load& load, double peer_open_flows, double uncontended_ms);
-
 // Cost of placing a flow on a candidate; no value if the candidate must not be used.
 std::optional<double> cost_ms(const known_backend& candidate, const placement_request& request,
                               const placement_weights& weights, millis now);
--- a/src/tagged/router_parts.hpp
+++ b/src/tagged/router_parts.hpp
@@ -34,8 +34,9 @@
 
 // Classifies the outcome of a flow's request by the bytes that its caller has acknowledged, and
 // records it for the backend server. Called when the request has been answered, or has waited
-// longer than its processing and queues explain.
-void record_request_outcome(router_state& state, remembered_flow& flow, millis now);
+// longer than its processing and queues explain. Returns the class, if the outcome was pending.
+std::optional<answer_class> record_request_outcome(router_state& state, remembered_flow& flow,
+                                                   millis now);
 
 // Closes a flow; it no longer counts as load of its backend server.
 void close_flow(router_state& state, remembered_flow& flow);
--- a/src/tagged/router_upkeep.cpp
+++ b/src/tagged/router_upkeep.cpp
@@ -99,6 +99,10 @@
         {
             review_unanswered_request(state, *flow, now);
         }
+        if (is_load_expired(*flow, now))
+        {
+            stop_counting_flow(state.backends, *flow);
+        }
         reviews.push_back(flow_review{now + busy_review_interval, key});
     }
 }
@@ -279,11 +283,12 @@
     return flow.is_outcome_pending && flow.has_request && flow.acknowledgement == flow.answer_begin;
 }
 
-void record_request_outcome(router_state& state, remembered_flow& flow, millis now)
+std::optional<answer_class> record_request_outcome(router_state& state, remembered_flow& flow,
+                                                   millis now)
 {
     if (!flow.is_outcome_pending || flow.backend == no_backend)
     {
-        return;
+        return std::nullopt;
     }
     flow.is_outcome_pending = false;
     const endpoint route{flow.tuple.destination, flow.tuple.destination_port};
@@ -303,7 +308,7 @@
     }
     if (!is_new)
     {
-        return;
+        return observed_class;
     }
     const std::string_view class_name =
         answer_class_names[static_cast<std::size_t>(observed_class)];
@@ -313,6 +318,7 @@
                                        " answer_bytes=" + std::to_string(bytes) +
                                        " usual_bytes=" + std::to_string(usual_bytes) +
                                        " repeats=" + std::to_string(record.consecutive_demotions)});
+    return observed_class;
 }
 
 void close_flow(router_state& state, remembered_flow& flow)
@@ -326,6 +332,7 @@
     if (now > state.last_tick + pause_threshold)
     {
         state.resumed_at = now;
+        state.backlog_until = now + backlog_window;
         state.state_changes.push_back({state_change_kind::process_paused,
                                        no_backend,
                                        {},
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -12,11 +12,9 @@
 // Weight of one flow in the smoothed flow lifetime (EWMA) of a service and of a backend server.
 constexpr double service_smoothing = 0.03;
 constexpr double backend_smoothing = 0.1;
-// The same for a service's uncontended lifetime: for flows that found no queue, and for all others.
-// The second is small so that time in a queue does not pass for processing time, but not 0, so
-// that a wrong first sample does not last.
-constexpr double drained_smoothing = 0.03;
-constexpr double queued_smoothing = 0.0005;
+// Bound of a service's load factor, as a multiple of what this daemon's share of all new flows
+// implies.
+constexpr double max_load_factor = 4;
 
 packet_decision decide(packet_verdict verdict, verdict_reason reason)
 {
@@ -57,7 +55,7 @@
     }
 }
 
-// Updates the smoothed flow lifetimes when a flow ends.
+// Updates the smoothed flow lifetimes and the measured wait when a flow ends.
 void observe_flow_lifetime(router_state& state, const remembered_flow& flow, millis now)
 {
     known_backend& backend = state.backends.entries[flow.backend];
@@ -66,12 +64,11 @@
     service_lifetime_ms += service_lifetime_ms > 0
                                ? service_smoothing * (lifetime_ms - service_lifetime_ms)
                                : lifetime_ms;
-    service_queue& queue = state.queues[backend.service];
-    const bool is_drained =
-        queue.history.last_drained == queue.history.last_flow && !queue.history.is_standing;
-    const double weight = is_drained ? drained_smoothing : queued_smoothing;
-    queue.uncontended_ms +=
-        queue.uncontended_ms > 0 ? weight * (lifetime_ms - queue.uncontended_ms) : lifetime_ms;
+    // Of a flow that was open during a pause, the lifetime includes the pause.
+    const answered_flow answered{lifetime_ms, flow.expected_wait_ms,
+                                 flow.opened >= state.resumed_at};
+    observe_answered_flow(state.queues[backend.service].waits, answered,
+                          max_load_factor / state.opening_share, now);
     double& backend_lifetime_ms = backend.evidence.flow_lifetime_ms;
     backend_lifetime_ms = backend_lifetime_ms > 0 ? backend_lifetime_ms : service_lifetime_ms;
     backend_lifetime_ms += backend_smoothing * (lifetime_ms - backend_lifetime_ms);
@@ -121,21 +118,26 @@
                    : decide(packet_verdict::drop, verdict_reason::no_backend);
     }
     service_queue& queue = state.queues[request.service];
-    const double uncontended_ms =
-        queue.uncontended_ms > 0 ? queue.uncontended_ms : state.settings.weights.default_service_ms;
+    const double uncontended_ms = queue.waits.uncontended_ms > 0
+                                      ? queue.waits.uncontended_ms
+                                      : state.settings.weights.default_service_ms;
     const service_load load =
         compute_service_load(state.backends, request.service, request.conditions, now);
-    // Other daemons are assumed to have open flows in proportion to their share of new flows. The
-    // backlog of callers that waited during a pause is this daemon's alone.
-    const bool is_backlog = now < state.resumed_at + backlog_window;
-    const double peer_open_flows = is_backlog ? 0 : load.open_flows * (1 / state.opening_share - 1);
+    // The backlog of callers that waited during a pause is this daemon's alone.
+    const double load_factor = now < state.backlog_until ? 1 : queue.waits.load_factor;
     chosen->wait_ms =
-        std::max(chosen->wait_ms, service_wait_ms(load, peer_open_flows, uncontended_ms));
-    if (!admit_flow(queue.history, known.current, chosen->wait_ms, state.settings.admission, now))
+        std::max(chosen->wait_ms, estimate_wait_ms(load, load_factor, uncontended_ms));
+    const admission_request asked{chosen->wait_ms, queue.waits.measured_at,
+                                  packet.retransmissions >= max_opening_retransmissions};
+    const admission_verdict verdict =
+        admit_flow(queue.history, known.current, asked, state.settings.admission, now);
+    if (verdict != admission_verdict::admit)
     {
-        packet_decision refusal = decide_reset(packet, verdict_reason::wait_too_long);
-        refusal.wait_ms = chosen->wait_ms;
-        return refusal;
+        packet_decision decision = verdict == admission_verdict::refuse
+                                       ? decide_reset(packet, verdict_reason::wait_too_long)
+                                       : decide(packet_verdict::drop, verdict_reason::deferred);
+        decision.wait_ms = chosen->wait_ms;
+        return decision;
     }
     remembered_flow opened_at;
     opened_at.tuple = packet.tuple;
@@ -145,6 +147,8 @@
     opened_at.data_end = packet.sequence + 1;
     opened_at.first_seen = now;
     opened_at.last_packet = now;
+    opened_at.expected_wait_ms = chosen->wait_ms;
+    opened_at.load_lifetime = load_lifetime(chosen->wait_ms, uncontended_ms);
     remembered_flow* flow = remember_flow(state.flows, key, opened_at, now);
     if (flow == nullptr)
     {
@@ -329,14 +333,17 @@
     const bool ends = packet.closes || packet.is_reset;
     if (ends && flow.stage == flow_stage::open)
     {
+        const std::optional<answer_class> answer =
+            flow.has_request ? record_request_outcome(state, flow, now) : std::nullopt;
         if (packet.closes && flow.openings > 0)
         {
-            observe_flow_lifetime(state, flow, now);
             decision.flow_lifetime = now - flow.opened;
         }
-        if (flow.has_request)
+        // A refusal or an error takes no processing time, so it doesn't show what requests take.
+        if (decision.flow_lifetime &&
+            answer.value_or(answer_class::complete) == answer_class::complete)
         {
-            record_request_outcome(state, flow, now);
+            observe_flow_lifetime(state, flow, now);
         }
         close_flow(state, flow);
     }
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -45,6 +45,7 @@
 #include "tagged/route_table.hpp"
 #include "tagged/suspicion.hpp"
 #include "tagged/tagged_packet.hpp"
+#include "tagged/wait_estimate.hpp"
 
 namespace briarbarrow
 {
@@ -87,6 +88,8 @@
     no_route,
     no_backend,
     wait_too_long,
+    // Dropped to let the caller send it again.
+    deferred,
     dead_backend,
     dead_tag,
     routes_not_known,
@@ -95,10 +98,10 @@
     proactive_reset
 };
 
-constexpr std::array<std::string_view, 14> verdict_reason_names{
-    "placed",           "placed_again",    "same_again",    "remembered",   "tagged",
-    "no_route",         "no_backend",      "hopeless_wait", "dead_backend", "dead_tag",
-    "routes_not_known", "route_not_fresh", "tag_not_known", "own_reset"};
+constexpr std::array<std::string_view, 15> verdict_reason_names{
+    "placed",   "placed_again",     "same_again",      "remembered",    "tagged",
+    "no_route", "no_backend",       "hopeless_wait",   "deferred",      "dead_backend",
+    "dead_tag", "routes_not_known", "route_not_fresh", "tag_not_known", "own_reset"};
 
 // The decision about one packet.
 struct packet_decision
@@ -201,8 +204,7 @@
 struct service_queue
 {
     queue_history history;
-    // Smoothed lifetime of flows that found no queue. Unit: milliseconds; 0 before the first one.
-    double uncontended_ms = 0;
+    wait_evidence waits;
 };
 
 // The complete state of a router.
@@ -233,6 +235,8 @@
     // Start of the process, or end of its last pause. Responses missing from before are no
     // evidence.
     millis resumed_at;
+    // End of the time after a pause in which new flows may be the backlog of callers that waited.
+    millis backlog_until;
     millis last_decay;
     // New flows since `last_decay`, and their smoothed rate.
     std::uint64_t openings_in_interval = 0;
--- a/src/tagged/tagged_packet.hpp
+++ b/src/tagged/tagged_packet.hpp
@@ -15,6 +15,9 @@
 // The tag of a packet that has not been tagged yet.
 constexpr std::uint32_t no_tag = 0;
 
+// A caller retransmits an opening packet this often before it gives up.
+constexpr std::uint32_t max_opening_retransmissions = 2;
+
 // Why a datagram is not a valid packet.
 enum class packet_error : std::uint8_t
 {
@@ -41,6 +44,8 @@
     // Unit: bytes.
     std::uint32_t payload_bytes = 0;
     std::uint32_t tag = no_tag;
+    // For an opening packet: how many times the caller has sent it before.
+    std::uint32_t retransmissions = 0;
 };
 
 } // namespace briarbarrow
--- a/src/testing/tagged_simulation.cpp
+++ b/src/testing/tagged_simulation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 #include <queue>
 #include <random>
@@ -27,6 +28,9 @@
 constexpr std::int64_t second_retransmission_us = 600'000;
 constexpr std::int64_t connect_timeout_us = 1'400'000;
 constexpr int max_attempts = 3;
+// The network's routers poll the readiness of each daemon at this interval, and stop using one that
+// has missed two polls.
+constexpr std::int64_t readiness_poll_ms = 500;
 // Size of the answers at the users' sites: a header, and a lognormal body with a median of a
 // thousand bytes and a sigma of 0.6.
 constexpr double answer_bytes = 1'000;
@@ -91,6 +95,13 @@
     bool is_in_window(const fault_window& window, std::size_t index) const;
     bool is_partitioned(std::size_t left, std::size_t right) const;
     bool is_lost();
+    bool has_power(std::size_t daemon) const;
+    bool is_in_rotation(std::size_t daemon) const;
+    std::vector<std::size_t> daemons_for(std::size_t zone) const;
+    void start_daemon(std::size_t daemon);
+    void schedule_power_loss();
+    void forget_baseline_flows(std::size_t daemon);
+    void count_refusal();
     bool can_reach(std::size_t daemon, std::size_t backend) const;
     std::int64_t link_delay_us(std::size_t daemon, std::size_t backend) const;
     void make_topology();
@@ -143,6 +154,7 @@
     std::int64_t now_us = 0;
     std::vector<simulated_daemon> daemons;
     std::vector<simulated_backend> backends;
+    route_list routes;
     std::map<flow_tuple, request_ptr> by_flow;
     std::uint32_t next_caller = 1;
     simulation_report report;
@@ -202,8 +214,7 @@
         backend.name = "i-" + std::to_string(1000 + i);
         this->backends.push_back(std::move(backend));
     }
-    route_list routes;
-    routes.version = 1;
+    this->routes.version = 1;
     route idempotent;
     idempotent.name = "previews";
     idempotent.address = idempotent_address;
@@ -217,27 +228,89 @@
     at_most_once.address = at_most_once_address;
     at_most_once.kind = request_kind::at_most_once;
     at_most_once.priority = 1;
-    routes.routes = {idempotent, at_most_once};
+    this->routes.routes = {idempotent, at_most_once};
     this->daemons.resize(this->options.daemons);
     for (std::size_t i = 0; i < this->options.daemons; ++i)
     {
-        simulated_daemon& daemon = this->daemons[i];
-        daemon.zone = i % this->options.zones;
-        router_settings settings;
-        settings.own_zone = "zone-" + std::to_string(daemon.zone);
-        start_router(daemon.router, settings, this->now());
-        apply_route_list(daemon.router, routes);
-        for (std::size_t k = 0; k < this->backends.size(); ++k)
-        {
-            apply_backend_registration(daemon.router, this->registration_of(k), this->now());
-        }
-        confirm_lists(daemon.router, this->now());
+        this->daemons[i].zone = i % this->options.zones;
+        this->start_daemon(i);
         this->schedule_event(static_cast<std::int64_t>(i) * 1'300, [this, i]() { this->tick(i); });
     }
     this->baseline_flow_counts.assign(this->options.daemons,
                                       std::vector<std::int64_t>(this->options.backends, 0));
 }
 
+// Starts a daemon's router with the current lists and an empty flow memory.
+void simulation::start_daemon(std::size_t daemon)
+{
+    simulated_daemon& host = this->daemons[daemon];
+    host.router = router_state{};
+    router_settings settings;
+    settings.own_zone = "zone-" + std::to_string(host.zone);
+    if (this->options.policy == placement_policy::admit_all)
+    {
+        constexpr double unlimited = 1e9;
+        settings.admission.urgent_timeout_share = unlimited;
+        settings.admission.ordinary_timeout_share = unlimited;
+        settings.admission.urgent_objective_share = unlimited;
+        settings.admission.ordinary_objective_share = unlimited;
+    }
+    start_router(host.router, settings, this->now());
+    apply_route_list(host.router, this->routes);
+    for (std::size_t k = 0; k < this->backends.size(); ++k)
+    {
+        apply_backend_registration(host.router, this->registration_of(k), this->now());
+    }
+    confirm_lists(host.router, this->now());
+}
+
+bool simulation::has_power(std::size_t daemon) const
+{
+    const std::int64_t ms = this->now_us / us_per_ms;
+    const power_loss& power = this->options.power;
+    return power.begin == 0 || ms < power.begin || ms >= power.ready_at[daemon];
+}
+
+// True while the network's routers send packets to a daemon.
+bool simulation::is_in_rotation(std::size_t daemon) const
+{
+    const std::int64_t ms = this->now_us / us_per_ms;
+    const power_loss& power = this->options.power;
+    if (power.begin == 0 || ms < power.begin + 2 * readiness_poll_ms)
+    {
+        return true;
+    }
+    const std::int64_t next_poll =
+        (power.ready_at[daemon] + readiness_poll_ms - 1) / readiness_poll_ms * readiness_poll_ms;
+    return ms >= next_poll;
+}
+
+void simulation::schedule_power_loss()
+{
+    if (this->options.power.begin == 0)
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < this->daemons.size(); ++i)
+    {
+        this->schedule_event(this->options.power.ready_at[i] * us_per_ms,
+                             [this, i]()
+                             {
+                                 this->start_daemon(i);
+                                 this->forget_baseline_flows(i);
+                             });
+    }
+}
+
+// Empties the flow memory of a daemon under a baseline policy.
+void simulation::forget_baseline_flows(std::size_t daemon)
+{
+    std::fill(this->baseline_flow_counts[daemon].begin(), this->baseline_flow_counts[daemon].end(),
+              0);
+    std::erase_if(this->baseline_placements,
+                  [daemon](const auto& entry) { return entry.second.first == daemon; });
+}
+
 backend_registration simulation::registration_of(std::size_t backend) const
 {
     backend_registration registration;
@@ -364,6 +437,7 @@
     }
     tagged_packet packet = this->packet_of(*request, port);
     packet.opens = true;
+    packet.retransmissions = transmission;
     if (transmission == 0)
     {
         this->by_flow[packet.tuple] = request;
@@ -392,17 +466,12 @@
 
 void simulation::send_to_daemon(const simulated_request& request, const tagged_packet& packet)
 {
-    // The network's routers send a flow to one daemon of the caller's zone, by hash.
-    std::vector<std::size_t> candidates;
-    for (std::size_t i = 0; i < this->daemons.size(); ++i)
-    {
-        if (this->daemons[i].zone == request.zone)
-        {
-            candidates.push_back(i);
-        }
-    }
     const std::uint64_t flow_hash = mix(packet.tuple.source_port, packet.tuple.destination_port);
-    const std::size_t daemon = candidates[flow_hash % candidates.size()];
+    const std::vector<std::size_t> candidates = this->daemons_for(request.zone);
+    const std::size_t daemon =
+        *std::max_element(candidates.begin(), candidates.end(),
+                          [flow_hash](std::size_t left, std::size_t right)
+                          { return mix(flow_hash, left) < mix(flow_hash, right); });
     if (this->is_lost())
     {
         return;
@@ -410,6 +479,10 @@
     this->schedule_event(this->now_us + caller_link_delay_us,
                          [this, daemon, packet]()
                          {
+                             if (!this->has_power(daemon))
+                             {
+                                 return;
+                             }
                              if (this->is_in_window(this->options.paused_daemons, daemon))
                              {
                                  this->daemons[daemon].queued_packets.push_back(packet);
@@ -419,6 +492,57 @@
                          });
 }
 
+// The daemons to which the network's routers send a flow of a zone, by hash: those of the zone that
+// are in rotation, else those of the other zones, else all of the zone.
+std::vector<std::size_t> simulation::daemons_for(std::size_t zone) const
+{
+    std::vector<std::size_t> in_zone;
+    std::vector<std::size_t> ready_in_zone;
+    std::vector<std::size_t> ready;
+    for (std::size_t i = 0; i < this->daemons.size(); ++i)
+    {
+        const bool is_ready = this->is_in_rotation(i);
+        const bool is_in_zone = this->daemons[i].zone == zone;
+        if (is_in_zone)
+        {
+            in_zone.push_back(i);
+        }
+        if (is_ready)
+        {
+            ready.push_back(i);
+        }
+        if (is_ready && is_in_zone)
+        {
+            ready_in_zone.push_back(i);
+        }
+    }
+    const std::vector<std::size_t>& elsewhere = ready.empty() ? in_zone : ready;
+    return ready_in_zone.empty() ? elsewhere : ready_in_zone;
+}
+
+// Counts a refused flow, and whether any backend server could have answered it in time.
+void simulation::count_refusal()
+{
+    ++this->report.refusals;
+    double least_wait_ms = std::numeric_limits<double>::max();
+    for (std::size_t i = 0; i < this->backends.size(); ++i)
+    {
+        if (this->is_in_window(this->options.unresponsive_backends, i))
+        {
+            continue;
+        }
+        const simulated_backend& backend = this->backends[i];
+        const bool has_free_slot = backend.busy_slots < this->options.slots;
+        const double wait_ms = static_cast<double>(backend.queued_requests.size() + 1) *
+                               this->options.mean_service_ms / this->options.slots;
+        least_wait_ms = std::min(least_wait_ms, has_free_slot ? 0 : wait_ms);
+    }
+    this->report.needless_refusals += least_wait_ms + this->options.mean_service_ms <=
+                                              static_cast<double>(this->options.objective_ms)
+                                          ? 1
+                                          : 0;
+}
+
 std::optional<std::size_t> simulation::place_by_baseline(std::size_t daemon,
                                                          const tagged_packet& packet)
 {
@@ -464,11 +588,17 @@
 {
     std::optional<std::size_t> to;
     std::uint32_t tag = packet.tag;
-    if (this->options.policy == placement_policy::product)
+    const bool is_routed = this->options.policy == placement_policy::product ||
+                           this->options.policy == placement_policy::admit_all;
+    if (is_routed)
     {
         const packet_decision decision =
             route_packet(this->daemons[daemon].router, packet, this->now());
         this->count_demotions(this->daemons[daemon].router);
+        if (decision.reason == verdict_reason::wait_too_long)
+        {
+            this->count_refusal();
+        }
         if (decision.verdict == packet_verdict::reset)
         {
             this->reset_flow(packet.tuple);
@@ -527,7 +657,7 @@
     }
     this->schedule_event(this->now_us + router_tick_interval.count * us_per_ms,
                          [this, daemon]() { this->tick(daemon); });
-    if (this->is_in_window(this->options.paused_daemons, daemon))
+    if (this->is_in_window(this->options.paused_daemons, daemon) || !this->has_power(daemon))
     {
         return;
     }
@@ -568,7 +698,8 @@
 {
     for (std::size_t i = 0; i < this->daemons.size(); ++i)
     {
-        if (i != daemon && !this->is_partitioned(this->daemons[daemon].zone, this->daemons[i].zone))
+        if (i != daemon && this->has_power(i) &&
+            !this->is_partitioned(this->daemons[daemon].zone, this->daemons[i].zone))
         {
             this->schedule_event(this->now_us + other_zone_delay_us, [this, i, update]()
                                  { update(this->daemons[i].router, this->now()); });
@@ -846,6 +977,7 @@
 {
     this->make_topology();
     this->schedule_expiry();
+    this->schedule_power_loss();
     this->schedule_arrivals(false, this->options.idempotent_per_s);
     this->schedule_arrivals(true, this->options.at_most_once_per_s);
     while (!this->events.empty())
--- a/src/testing/tagged_simulation.hpp
+++ b/src/testing/tagged_simulation.hpp
@@ -27,6 +27,8 @@
     // Baseline: the backend server with the fewest flows of the daemon, the own zone preferred on a
     // tie, without memory of unresponsive backend servers.
     fewest_flows,
+    // Baseline: the product's routers without admission control.
+    admit_all,
     // Ideal: a central placement that sees the flows and the state of every backend server.
     oracle
 };
@@ -40,6 +42,16 @@
     std::vector<std::size_t> indices;
 };
 
+// All daemons lose power and restart with empty memory. Unit: milliseconds from the start of the
+// run.
+struct power_loss
+{
+    // 0 for never.
+    std::int64_t begin = 0;
+    // When each daemon is ready again.
+    std::vector<std::int64_t> ready_at;
+};
+
 // Topology, load and faults of a run.
 struct simulation_options
 {
@@ -73,6 +85,7 @@
     bool fails_without_answer = false;
     fault_window partitioned_zones;
     fault_window paused_daemons;
+    power_loss power;
     // All backend entries in the store expire at this time and return one by one within
     // `expiry_recovery_ms`; 0 for never.
     std::int64_t expiry_at_ms = 0;
@@ -103,6 +116,10 @@
     // server.
     std::uint64_t resets = 0;
     std::uint64_t resets_of_healthy_flows = 0;
+    // New flows that daemons refused, and those of them at whose refusal a responsive backend
+    // server could have answered within the objective.
+    std::uint64_t refusals = 0;
+    std::uint64_t needless_refusals = 0;
     // At-most-once requests that failed because a partition began between the handshake and the
     // data of their flow. Nobody can tell whether they ran, so they must not be sent again.
     std::uint64_t at_most_once_lost_in_partition = 0;
--- a/src/testing/tagged_simulation_test.cpp
+++ b/src/testing/tagged_simulation_test.cpp
@@ -259,6 +259,51 @@
     }
 }
 
+// Power fails in the middle of the day: the callers' backlog reaches the daemon that returns first,
+// and the network's routers hand the later packets of these flows to the daemons that return after
+// it. Load and figures are those of a site with three slots for each backend server.
+simulation_options make_power_loss()
+{
+    simulation_options lost;
+    lost.slots = 3;
+    lost.queue_capacity = 12;
+    lost.idempotent_per_s = 310;
+    lost.at_most_once_per_s = 88;
+    lost.mean_service_ms = 59;
+    lost.objective_ms = 250;
+    lost.timeout_ms = 2'500;
+    lost.duration_ms = 12'000;
+    lost.power.begin = 4'100;
+    lost.power.ready_at = {5'540, 5'460, 5'640, 5'240};
+    return lost;
+}
+
+TEST_CASE("admission: after a power loss, flows that moved to other daemons don't count as load")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        CAPTURE(seed);
+        const simulation_options lost = make_power_loss();
+        const simulation_report result = run_with_policy(lost, placement_policy::product, seed);
+        const simulation_report all = run_with_policy(lost, placement_policy::admit_all, seed);
+        const simulation_report simplest =
+            run_with_policy(lost, placement_policy::fewest_flows, seed);
+        check_invariants(result);
+        CHECK(result.needless_refusals * 100 <= result.refusals);
+        const auto failed_of = [](const simulation_report& report)
+        {
+            return report.idempotent.failed + report.at_most_once.failed;
+        };
+        CHECK(failed_of(result) <= std::min(failed_of(all), failed_of(simplest)));
+        CHECK(late_or_failed(result) <=
+              std::min(late_or_failed(all), late_or_failed(simplest)) + max_random_difference);
+        MESSAGE("refusals ", result.refusals, " needless ", result.needless_refusals, " failed ",
+                failed_of(result), "/", failed_of(all), "/", failed_of(simplest),
+                " late or failed ", late_or_failed(result), "/", late_or_failed(all), "/",
+                late_or_failed(simplest));
+    }
+}
+
 TEST_CASE("packet loss alone does not move flows away from a backend server that answers others")
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
