Fewer wrong demotions: a higher threshold, and more samples before an answer counts as short

Change: threshold 6 to 7, score at the start of a probation 5 to 6 (one short answer within 3 s still demotes), 50 samples instead of 30 before an answer counts as short.

--- a/src/tagged/answer_quality.hpp
+++ b/src/tagged/answer_quality.hpp
@@ -31,7 +31,7 @@
 struct answer_limits
 {
     // Answers of a route that must be sampled before any counts as short.
-    std::uint32_t min_samples = 30;
+    std::uint32_t min_samples = 50;
     // An answer is short if the logarithm of its length is this many standard deviations below the
     // mean, and its length is at most this fraction of the usual one. With log-normal lengths that
     // holds for one in 160 answers.
@@ -45,7 +45,7 @@
     // another daemon.
     double missing_weight = 2.5;
     // Score at which a backend server is demoted: two short answers in a row reach it, one doesn't.
-    double demotion_threshold = 6;
+    double demotion_threshold = 7;
     // Decay of the score per second. At the users' sites a backend server gives a short answer
     // without a failure about every 20 s; two of these must not add up.
     double score_decay_per_second = 1;
@@ -56,7 +56,7 @@
     // demoted one are not reported.
     std::uint32_t max_reports_per_second = 10;
     // Score at the start of a probation: one short answer within three seconds demotes again.
-    double probation_score = 5;
+    double probation_score = 6;
     // Duration of the first demotion, and the longest one. Three seconds is also the time within
     // which a drain must be in force.
     millis initial_demotion_duration{3'000};
