An opening that would wait longer than until its retransmission is deferred at once

Change: while its next copy comes sooner than a slot, an opening packet is deferred, also when the queue is not standing yet.

--- a/src/tagged/admission.cpp
+++ b/src/tagged/admission.cpp
@@ -53,15 +53,17 @@
     {
         return admission_verdict::refuse;
     }
-    if (!history.is_standing || request.wait_ms <= max_standing_wait_ms(requested, limits))
-    {
-        return admission_verdict::admit;
-    }
-    if (now > history.standing_since + requested.timeout)
+    const bool is_short_wait = request.wait_ms <= max_standing_wait_ms(requested, limits);
+    const bool is_old_queue =
+        history.is_standing && now > history.standing_since + requested.timeout;
+    if (is_old_queue && !is_short_wait)
     {
         return admission_verdict::refuse;
     }
-    return request.is_last_transmission ? admission_verdict::admit : admission_verdict::defer;
+    const bool is_admitted =
+        !request.retransmission_ms ||
+        (history.is_standing ? is_short_wait : request.wait_ms <= *request.retransmission_ms);
+    return is_admitted ? admission_verdict::admit : admission_verdict::defer;
 }
 
 } // namespace briarbarrow
--- a/src/tagged/admission.hpp
+++ b/src/tagged/admission.hpp
@@ -20,6 +20,8 @@
 #ifndef BRIARBARROW_TAGGED_ADMISSION_HPP
 #define BRIARBARROW_TAGGED_ADMISSION_HPP
 
+#include <optional>
+
 #include "core/clock.hpp"
 #include "tagged/route_table.hpp"
 
@@ -76,8 +78,9 @@
     double wait_ms = 0;
     // When a request of the service was last answered.
     millis last_answer;
-    // True if the caller won't send this opening packet again.
-    bool is_last_transmission = false;
+    // Time until the caller sends the opening packet again; no value if it won't. Unit:
+    // milliseconds.
+    std::optional<double> retransmission_ms;
 };
 
 // Decides about a new flow of a route, and updates the history with its wait.
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -89,6 +89,14 @@
     return request;
 }
 
+// Time until a caller sends an opening packet again; no value if it won't. Unit: milliseconds.
+std::optional<double> time_to_retransmission(const tagged_packet& packet)
+{
+    return packet.retransmissions < opening_retransmission_ms.size()
+               ? std::optional<double>(opening_retransmission_ms[packet.retransmissions])
+               : std::nullopt;
+}
+
 // Forwards an opening packet to a backend server and starts waiting for the response.
 packet_decision send_opening(router_state& state, const flow_key& key, remembered_flow& flow,
                              const placement& chosen, verdict_reason reason, millis now)
@@ -128,7 +136,7 @@
     chosen->wait_ms =
         std::max(chosen->wait_ms, estimate_wait_ms(load, load_factor, uncontended_ms));
     const admission_request asked{chosen->wait_ms, queue.waits.measured_at,
-                                  packet.retransmissions >= max_opening_retransmissions};
+                                  time_to_retransmission(packet)};
     const admission_verdict verdict =
         admit_flow(queue.history, known.current, asked, state.settings.admission, now);
     if (verdict != admission_verdict::admit)
--- a/src/tagged/tagged_packet.hpp
+++ b/src/tagged/tagged_packet.hpp
@@ -15,8 +15,8 @@
 // The tag of a packet that has not been tagged yet.
 constexpr std::uint32_t no_tag = 0;
 
-// A caller retransmits an opening packet this often before it gives up.
-constexpr std::uint32_t max_opening_retransmissions = 2;
+// Time from each transmission of an opening packet to the caller's next one. Unit: milliseconds.
+constexpr std::array<std::uint32_t, 2> opening_retransmission_ms{200, 400};
 
 // Why a datagram is not a valid packet.
 enum class packet_error : std::uint8_t
--- a/src/tagged/wait_estimate.hpp
+++ b/src/tagged/wait_estimate.hpp
@@ -1,13 +1,13 @@
 // Estimates how long a new flow of a service has to wait for a slot.
 //
-// The load it is made for: several daemons with unequal shares of the flows, each of which sees only
-// its own; and a fleet that has just returned from a power loss, in which the network hands the
-// flows of the daemon that returned first to the others, so that it never sees them end.
+// The load it is made for: several daemons with unequal shares of the flows, each of which sees
+// only its own; and a fleet that has just returned from a power loss, in which the network hands
+// the flows of the daemon that returned first to the others, so that it never sees them end.
 //
-// The estimate comes from the daemon's own open flows, times a load factor that stands for the flows
-// that it doesn't see. The factor is learned: when a flow ends, its lifetime is compared with what
-// was expected at its placement. A flow that lasts much longer than expected without any progress
-// no longer counts (flow_memory.hpp).
+// The estimate comes from the daemon's own open flows, times a load factor that stands for the
+// flows that it doesn't see. The factor is learned: when a flow ends, its lifetime is compared with
+// what was expected at its placement. A flow that lasts much longer than expected without any
+// progress no longer counts (flow_memory.hpp).
 #ifndef BRIARBARROW_TAGGED_WAIT_ESTIMATE_HPP
 #define BRIARBARROW_TAGGED_WAIT_ESTIMATE_HPP
 
