Essential log lines have a limit of their own; time in a queue is not learned as processing time

And a test of the new estimate (admission_test.cpp: ten of a hundred open flows are this daemon's) failed: while no queue was expected, waiting passed for processing time, so the factor for unseen flows was never learned. Change: resets and refusals have a rate limit and a part of the buffer of their own; flows that end while waits are measured don't change the uncontended lifetime.

--- a/src/net/line_log.cpp
+++ b/src/net/line_log.cpp
@@ -73,19 +73,26 @@
 }
 
 line_log::line_log(int descriptor, line_log_limits limits)
-    : descriptor(descriptor), limits(limits), allowance(limits.lines_per_second)
+    : descriptor(descriptor), limits(limits), allowance(limits.lines_per_second),
+      essential_allowance(limits.essential_lines_per_second)
 {
 }
 
-void line_log::write(const log_line& line, millis at, millis now)
+void line_log::write(const log_line& line, millis at, millis now, line_importance importance)
 {
     this->refill_allowance(at, now);
-    if (this->allowance <= 0 || !this->append(line.text(), at))
+    const bool is_essential = importance == line_importance::essential;
+    std::int64_t& remaining = is_essential ? this->essential_allowance : this->allowance;
+    const std::size_t usable_bytes =
+        is_essential ? this->limits.buffer_bytes
+                     : this->limits.buffer_bytes -
+                           std::min(this->limits.buffer_bytes, this->limits.essential_buffer_bytes);
+    if (remaining <= 0 || !this->append(line.text(), at, usable_bytes))
     {
         ++this->omitted_lines;
         return;
     }
-    --this->allowance;
+    --remaining;
 }
 
 void line_log::flush()
@@ -119,19 +126,20 @@
     }
     this->last_refill = now;
     this->allowance = this->limits.lines_per_second;
+    this->essential_allowance = this->limits.essential_lines_per_second;
     const std::uint64_t unreported = this->omitted_lines - this->reported_omitted;
     log_line line("lines_omitted");
     line.add("lines", static_cast<std::int64_t>(unreported));
-    if (unreported > 0 && this->append(line.text(), at))
+    if (unreported > 0 && this->append(line.text(), at, this->limits.buffer_bytes))
     {
         this->reported_omitted = this->omitted_lines;
     }
 }
 
-bool line_log::append(const std::string& text, millis at)
+bool line_log::append(const std::string& text, millis at, std::size_t buffer_bytes)
 {
     const std::string time = "time_ms=" + std::to_string(at.count) + " ";
-    if (this->buffer.size() + time.size() + text.size() + 1 > this->limits.buffer_bytes)
+    if (this->buffer.size() + time.size() + text.size() + 1 > buffer_bytes)
     {
         return false;
     }
--- a/src/net/line_log.hpp
+++ b/src/net/line_log.hpp
@@ -1,6 +1,8 @@
 // Structured log lines on a descriptor whose reader may be slow or stopped. Lines are queued in a
 // bounded buffer and written as far as the descriptor accepts them without blocking. Lines that
-// don't fit into the buffer or exceed the rate limit are omitted and counted.
+// don't fit into the buffer or exceed the rate limit are omitted and counted. Essential lines have
+// a rate limit and a part of the buffer of their own, so that a flood of others doesn't displace
+// them.
 #ifndef BRIARBARROW_NET_LINE_LOG_HPP
 #define BRIARBARROW_NET_LINE_LOG_HPP
 
@@ -22,6 +24,17 @@
     // Lines that may be written each second. Allows three lines for each of the hundred requests
     // per second that a daemon sees.
     std::uint32_t lines_per_second = 300;
+    // The same for essential lines, and the part of the buffer that is reserved for them. Allows
+    // twice as many flows to be reset in a second as are usually open at a daemon.
+    std::uint32_t essential_lines_per_second = 300;
+    std::size_t essential_buffer_bytes = 24'576;
+};
+
+enum class line_importance : std::uint8_t
+{
+    ordinary,
+    // Explains why a caller was refused or cut off.
+    essential
 };
 
 // A line of key=value pairs. Values with spaces, quotes or control characters are quoted, and
@@ -50,7 +63,8 @@
 
     // Queues a line. `at` is the wall clock time to print, and `now` the monotonic time for the
     // rate limit.
-    void write(const log_line& line, millis at, millis now);
+    void write(const log_line& line, millis at, millis now,
+               line_importance importance = line_importance::ordinary);
 
     // Writes as much of the queue as the descriptor accepts without blocking.
     void flush();
@@ -60,12 +74,13 @@
 
 private:
     void refill_allowance(millis at, millis now);
-    bool append(const std::string& text, millis at);
+    bool append(const std::string& text, millis at, std::size_t buffer_bytes);
 
     int descriptor;
     line_log_limits limits;
     std::string buffer;
     std::int64_t allowance;
+    std::int64_t essential_allowance;
     millis last_refill;
     std::uint64_t omitted_lines = 0;
     std::uint64_t reported_omitted = 0;
--- a/src/tagged/wait_estimate.cpp
+++ b/src/tagged/wait_estimate.cpp
@@ -29,11 +29,16 @@
 constexpr double load_wait_factor = 2;
 constexpr double load_service_factor = 4;
 
+// True when a flow found a queue: one was expected, or the last flows show one.
+bool found_queue(const wait_evidence& evidence, const answered_flow& flow)
+{
+    return flow.expected_wait_ms > 0 ||
+           evidence.measured_wait_ms > significant_wait_share * evidence.uncontended_ms;
+}
+
 void update_load_factor(wait_evidence& evidence, const answered_flow& flow, double max_load_factor)
 {
-    const bool is_queue_unexpected =
-        evidence.measured_wait_ms > significant_wait_share * evidence.uncontended_ms;
-    if (flow.expected_wait_ms <= 0 && !is_queue_unexpected)
+    if (!found_queue(evidence, flow))
     {
         return;
     }
@@ -63,7 +68,7 @@
         evidence.measured_at = now;
         update_load_factor(evidence, flow, max_load_factor);
     }
-    const double smoothing = flow.expected_wait_ms > 0 ? queued_smoothing : drained_smoothing;
+    const double smoothing = found_queue(evidence, flow) ? queued_smoothing : drained_smoothing;
     evidence.uncontended_ms += smoothing * (flow.lifetime_ms - evidence.uncontended_ms);
 }
 
--- a/src/testing/net_test.cpp
+++ b/src/testing/net_test.cpp
@@ -241,6 +241,30 @@
     close(ends[1]);
 }
 
+TEST_CASE("a flood of ordinary log lines doesn't displace essential ones")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(pipe(ends.data()) == 0);
+    line_log_limits limits;
+    limits.lines_per_second = 1'000;
+    limits.buffer_bytes = 8'192;
+    limits.essential_buffer_bytes = 4'096;
+    line_log log(ends[1], limits);
+    for (int i = 0; i < 2'000; ++i)
+    {
+        log.write(log_line("flood"), millis{0}, millis{0});
+    }
+    const std::uint64_t omitted = log.omitted();
+    CHECK(omitted > 1'000);
+    for (int i = 0; i < 20; ++i)
+    {
+        log.write(log_line("flow_given_up"), millis{0}, millis{0}, line_importance::essential);
+    }
+    CHECK(log.omitted() == omitted);
+    close(ends[0]);
+    close(ends[1]);
+}
+
 TEST_CASE("values can't forge log lines or key=value pairs")
 {
     log_line line("told");
