The load factor learns faster from the first flows after a start

Change: the first flows that found a queue move the factor by 1/n of their error instead of a tenth. What is left of that loss: until the first answers, 60 to 100 ms after a start, a daemon knows nothing of the queues and admits everything.

--- a/src/tagged/wait_estimate.cpp
+++ b/src/tagged/wait_estimate.cpp
@@ -44,7 +44,11 @@
     }
     const double expected_ms = flow.expected_wait_ms + evidence.uncontended_ms;
     const double log_error = std::log(std::max(1.0, flow.lifetime_ms) / expected_ms);
-    const double step = load_factor_step * std::clamp(log_error, -max_log_error, max_log_error);
+    // The first flows after a start count for more: the backlog of a fleet that returns together
+    // fills the queues before many flows have ended.
+    const double weight = std::max(load_factor_step, 1.0 / (1 + evidence.load_factor_samples));
+    const double step = weight * std::clamp(log_error, -max_log_error, max_log_error);
+    ++evidence.load_factor_samples;
     evidence.load_factor =
         std::clamp(evidence.load_factor * std::exp(step), 1.0, std::max(1.0, max_load_factor));
 }
--- a/src/tagged/wait_estimate.hpp
+++ b/src/tagged/wait_estimate.hpp
@@ -11,6 +11,8 @@
 #ifndef BRIARBARROW_TAGGED_WAIT_ESTIMATE_HPP
 #define BRIARBARROW_TAGGED_WAIT_ESTIMATE_HPP
 
+#include <cstdint>
+
 #include "core/clock.hpp"
 
 namespace briarbarrow
@@ -30,6 +32,8 @@
     double uncontended_ms = 0;
     // Open flows of all daemons for each one of this daemon.
     double load_factor = 1;
+    // Flows that the load factor was learned from.
+    std::uint32_t load_factor_samples = 0;
     // Smoothed difference between the lifetimes of the last flows and the uncontended one.
     double measured_wait_ms = 0;
     // When the last flow ended.
