--- a/src/tagged/admission.cpp
+++ b/src/tagged/admission.cpp
@@ -43,7 +43,6 @@
     if (now > since + limits.standing_queue_interval)
     {
         history.is_standing = !history.is_standing;
-        history.standing_since = now;
     }
     if (now > request.last_answer + limits.evidence_lifetime)
     {
@@ -54,9 +53,8 @@
         return admission_verdict::refuse;
     }
     const bool is_short_wait = request.wait_ms <= max_standing_wait_ms(requested, limits);
-    const bool is_old_queue =
-        history.is_standing && now > history.standing_since + requested.timeout;
-    if (is_old_queue && !is_short_wait)
+    const bool is_backlog = now <= request.resumed_at + requested.timeout;
+    if (history.is_standing && !is_short_wait && !is_backlog)
     {
         return admission_verdict::refuse;
     }
--- a/src/tagged/admission.hpp
+++ b/src/tagged/admission.hpp
@@ -5,12 +5,13 @@
 // answer late without serving more requests (as in CoDel): the wait is then kept so short that
 // admitted requests are answered in time, and the less urgent ones yield.
 //
-// What is not admitted is deferred or refused. A queue that is younger than the callers' timeout
-// may be the backlog of a pause, which will pass; refusing would use up the callers' attempts in
-// milliseconds. A deferred opening packet is dropped, and the caller sends it again after a
-// fraction of a second; its last retransmission is admitted. In a queue that has stood for longer
-// than callers wait, there is no room for what would come back, so a flow is refused at once, as is
-// one whose wait alone would outlast its caller's timeout.
+// What is not admitted is deferred or refused. A deferred opening packet is dropped, and the caller
+// sends it again after a fraction of a second; its last retransmission is admitted. For a flow that
+// would wait longer than until then, this costs no time, and it spares the caller a refusal by a
+// backend server whose queue is full. The backlog of callers that waited while this daemon was down
+// or paused is deferred as well: it passes within their timeout, and refusals would use up their
+// attempts in milliseconds. In any other standing queue there is no room for what would come back,
+// so a flow is refused at once, as is one whose wait alone would outlast its caller's timeout.
 //
 // The expected wait is computed from open flows, which are known only in part: other daemons open
 // flows at the same backend servers, and the network may hand a flow's packets to another daemon,
@@ -53,8 +54,6 @@
 struct queue_history
 {
     bool is_standing = false;
-    // Since when it has been standing, or not.
-    millis standing_since;
     // When a new flow last found the queue drained, or was the first one after an idle time.
     millis last_drained;
     // When a new flow last found the queue not drained.
@@ -81,6 +80,8 @@
     // Time until the caller sends the opening packet again; no value if it won't. Unit:
     // milliseconds.
     std::optional<double> retransmission_ms;
+    // When this daemon started, or its last pause ended.
+    millis resumed_at;
 };
 
 // Decides about a new flow of a route, and updates the history with its wait.
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -136,7 +136,7 @@
     chosen->wait_ms =
         std::max(chosen->wait_ms, estimate_wait_ms(load, load_factor, uncontended_ms));
     const admission_request asked{chosen->wait_ms, queue.waits.measured_at,
-                                  time_to_retransmission(packet)};
+                                  time_to_retransmission(packet), state.resumed_at};
     const admission_verdict verdict =
         admit_flow(queue.history, known.current, asked, state.settings.admission, now);
     if (verdict != admission_verdict::admit)
--- a/src/testing/admission_test.cpp
+++ b/src/testing/admission_test.cpp
@@ -40,7 +40,7 @@
 TEST_CASE("without a recent answer an expected wait holds no flow back")
 {
     queue_history history;
-    const admission_request asked{10'000, millis{100'000}, 200};
+    const admission_request asked{10'000, millis{100'000}, 200, millis{}};
     CHECK(admit_flow(history, make_previews(), asked, {}, millis{100'100}) ==
           admission_verdict::refuse);
     CHECK(admit_flow(history, make_previews(), asked, {}, millis{100'301}) ==
@@ -51,26 +51,29 @@
 {
     queue_history history;
     const millis now{100'000};
-    CHECK(admit_flow(history, make_previews(), {199, now, 200}, {}, now) ==
+    CHECK(admit_flow(history, make_previews(), {199, now, 200, millis{}}, {}, now) ==
           admission_verdict::admit);
-    CHECK(admit_flow(history, make_previews(), {201, now, 200}, {}, now) ==
+    CHECK(admit_flow(history, make_previews(), {201, now, 200, millis{}}, {}, now) ==
           admission_verdict::defer);
-    CHECK(admit_flow(history, make_previews(), {201, now, 400}, {}, now) ==
+    CHECK(admit_flow(history, make_previews(), {201, now, 400, millis{}}, {}, now) ==
           admission_verdict::admit);
-    CHECK(admit_flow(history, make_previews(), {1'000, now, std::nullopt}, {}, now) ==
+    CHECK(admit_flow(history, make_previews(), {1'000, now, std::nullopt, millis{}}, {}, now) ==
           admission_verdict::admit);
 }
 
-TEST_CASE("a queue is deferred to while it may be a backlog, and refused once it outlasts callers")
+TEST_CASE("a standing queue is deferred to after a start, as a backlog, and refused otherwise")
 {
     queue_history history;
     millis now{100'000};
-    const admission_request waiting{100, now, 200};
-    ask_repeatedly(history, {0, now, 200}, now, 100);
+    const millis started = now;
+    const admission_request drained{0, now, 200, started};
+    const admission_request waiting{100, now, 200, started};
+    ask_repeatedly(history, drained, now, 100);
     CHECK(ask_repeatedly(history, waiting, now, 200) == admission_verdict::admit);
     CHECK(ask_repeatedly(history, waiting, now, 300) == admission_verdict::defer);
     CHECK(ask_repeatedly(history, waiting, now, 3'000) == admission_verdict::refuse);
-    CHECK(ask_repeatedly(history, {0, now, 200}, now, 400) == admission_verdict::admit);
+    CHECK(ask_repeatedly(history, drained, now, 400) == admission_verdict::admit);
+    CHECK(ask_repeatedly(history, waiting, now, 400) == admission_verdict::refuse);
 }
 
 TEST_CASE("the load factor follows the flows of other daemons, whatever share was assumed")
