--- a/src/testing/tagged_simulation_test.cpp
+++ b/src/testing/tagged_simulation_test.cpp
@@ -227,7 +227,8 @@
 TEST_CASE(
     "admission: openings that waited through a process pause count as no load and are not refused")
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    constexpr std::uint64_t many_seeds = 60;
+    for (std::uint64_t seed = 1; seed <= many_seeds; ++seed)
     {
         simulation_options paused;
         paused.paused_daemons = {3'000, 7'000, {0}};
@@ -311,6 +312,40 @@
     CHECK(late_or_failed_product <= late_or_failed_simplest);
 }
 
+// Three times the load comes at once while a part of the backend servers is lost: half of the
+// requests at most can be answered, and orders count twice.
+TEST_CASE("admission: in a burst with lost backend servers callers get more than without admission")
+{
+    simulation_options burst = make_power_loss();
+    burst.power = {};
+    burst.duration_ms = 6'000;
+    burst.idempotent_per_s *= 3;
+    burst.at_most_once_per_s *= 3;
+    burst.unresponsive_backends = {0, 6'000, {0, 1, 2, 3}};
+    constexpr double late_worth = 0.3;
+    constexpr double order_worth = 2;
+    const auto worth_of = [](const request_counts& seen)
+    {
+        return static_cast<double>(seen.on_time) + late_worth * static_cast<double>(seen.late);
+    };
+    const auto total_of = [&worth_of](const simulation_report& report)
+    {
+        return worth_of(report.idempotent) + order_worth * worth_of(report.at_most_once);
+    };
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        CAPTURE(seed);
+        const simulation_report result = run_with_policy(burst, placement_policy::product, seed);
+        const simulation_report all = run_with_policy(burst, placement_policy::admit_all, seed);
+        const simulation_report simplest =
+            run_with_policy(burst, placement_policy::fewest_flows, seed);
+        check_invariants(result);
+        CHECK(total_of(result) >= std::max(total_of(all), total_of(simplest)));
+        CHECK(result.at_most_once.failed * 2 <=
+              std::min(all.at_most_once.failed, simplest.at_most_once.failed));
+    }
+}
+
 TEST_CASE("packet loss alone does not move flows away from a backend server that answers others")
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
