--- a/src/net/line_log.hpp
+++ b/src/net/line_log.hpp
@@ -24,8 +24,8 @@
     // Lines that may be written each second. Allows three lines for each of the hundred requests
     // per second that a daemon sees.
     std::uint32_t lines_per_second = 300;
-    // The same for essential lines, and the part of the buffer that is reserved for them. Allows
-    // twice as many flows to be reset in a second as are usually open at a daemon.
+    // The same for essential lines, and the part of the buffer that is reserved for them. Unit:
+    // lines, bytes.
     std::uint32_t essential_lines_per_second = 300;
     std::size_t essential_buffer_bytes = 24'576;
 };
