Logs of the store's era, received lists and rejected changes

Change: http_channel keeps a response's headers (the health checks' code for that, shared); the store's era is decoded; new lines store_era, list_received, change_rejected, routes_outdated; counters replica_changes_total, replica_revision. apply_change says what it did. Which changes are applied is as before.

--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -20,16 +20,6 @@
 
 constexpr std::size_t receive_bytes = 16'384;
 
-http_parser_settings make_parser_settings(int (*on_body)(http_parser*, const char*, std::size_t),
-                                          int (*on_complete)(http_parser*))
-{
-    http_parser_settings settings;
-    http_parser_settings_init(&settings);
-    settings.on_body = on_body;
-    settings.on_message_complete = on_complete;
-    return settings;
-}
-
 } // namespace
 
 http_channel::http_channel(const endpoint& server) : server(server) {}
@@ -57,6 +47,7 @@
     this->receiver = std::move(receiver);
     this->is_request_pending = true;
     this->is_complete = false;
+    this->headers = http_headers{};
     this->body.clear();
     this->unsent = "GET " + target + " HTTP/1.1\r\nHost: " + to_string(this->server) + "\r\n\r\n";
     this->timer = g_timeout_add(static_cast<guint>(timeout.count), on_timeout, this);
@@ -162,7 +153,12 @@
 
 void http_channel::receive()
 {
-    static const http_parser_settings settings = make_parser_settings(on_body, on_complete);
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_header_field = on_header_name;
+    settings.on_header_value = on_header_value;
+    settings.on_body = on_body;
+    settings.on_message_complete = on_complete;
     std::array<char, receive_bytes> bytes;
     const ssize_t count = recv(this->descriptor, bytes.data(), bytes.size(), 0);
     if (count < 0 && errno == EAGAIN)
@@ -182,6 +178,7 @@
     {
         http_reply reply;
         reply.status = static_cast<int>(this->parser.status_code);
+        reply.headers = std::move(this->headers);
         reply.body = std::move(this->body);
         if (http_should_keep_alive(&this->parser) == 0)
         {
@@ -196,6 +193,18 @@
     }
 }
 
+int http_channel::on_header_name(http_parser* parser, const char* bytes, std::size_t count)
+{
+    auto* channel = static_cast<http_channel*>(parser->data);
+    return add_header_name(channel->headers, {bytes, count}) ? 0 : 1;
+}
+
+int http_channel::on_header_value(http_parser* parser, const char* bytes, std::size_t count)
+{
+    auto* channel = static_cast<http_channel*>(parser->data);
+    return add_header_value(channel->headers, {bytes, count}) ? 0 : 1;
+}
+
 int http_channel::on_body(http_parser* parser, const char* bytes, std::size_t count)
 {
     static_cast<http_channel*>(parser->data)->body.append(bytes, count);
--- a/src/net/http_channel.hpp
+++ b/src/net/http_channel.hpp
@@ -13,6 +13,7 @@
 
 #include "core/address.hpp"
 #include "core/clock.hpp"
+#include "net/http_headers.hpp"
 
 namespace briarbarrow
 {
@@ -25,6 +26,7 @@
 struct http_reply
 {
     int status = 0;
+    http_headers headers;
     std::string body;
     // Why there was no complete response, for the log.
     std::string failure;
@@ -50,6 +52,8 @@
 private:
     static gboolean on_ready(gint descriptor, GIOCondition condition, gpointer self);
     static gboolean on_timeout(gpointer self);
+    static int on_header_name(http_parser* parser, const char* bytes, std::size_t count);
+    static int on_header_value(http_parser* parser, const char* bytes, std::size_t count);
     static int on_body(http_parser* parser, const char* bytes, std::size_t count);
     static int on_complete(http_parser* parser);
 
@@ -68,6 +72,7 @@
     bool is_request_pending = false;
     bool is_complete = false;
     std::string unsent;
+    http_headers headers;
     std::string body;
     http_parser parser{};
     http_receiver receiver;
--- a/src/net/instance_check.cpp
+++ b/src/net/instance_check.cpp
@@ -7,10 +7,10 @@
 
 #include <glib-unix.h>
 #include <http_parser.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/http_headers.hpp"
 #include "net/socket_address.hpp"
 
 namespace briarbarrow
@@ -20,7 +20,6 @@
 {
 
 constexpr std::size_t receive_bytes = 2'048;
-constexpr std::size_t max_header_bytes = 256;
 
 } // namespace
 
@@ -34,48 +33,24 @@
     guint timer = 0;
     bool is_connected = false;
     http_parser parser{};
-    std::string field;
-    std::string value;
-    bool is_reading_value = false;
-    std::optional<std::string> named_instance;
+    http_headers headers;
     bool has_headers = false;
 
-    // Stores the value of the header that was just parsed, if it is the instance header.
-    void store_header()
-    {
-        if (strcasecmp(this->field.c_str(), this->request.header.c_str()) == 0)
-        {
-            this->named_instance = this->value;
-        }
-        this->field.clear();
-        this->value.clear();
-        this->is_reading_value = false;
-    }
-
-    static int on_field(http_parser* parser, const char* bytes, std::size_t count)
+    static int on_name(http_parser* parser, const char* bytes, std::size_t count)
     {
         auto* self = static_cast<running_check*>(parser->data);
-        if (self->is_reading_value)
-        {
-            self->store_header();
-        }
-        self->field.append(bytes, count);
-        return self->field.size() > max_header_bytes ? 1 : 0;
+        return add_header_name(self->headers, {bytes, count}) ? 0 : 1;
     }
 
     static int on_value(http_parser* parser, const char* bytes, std::size_t count)
     {
         auto* self = static_cast<running_check*>(parser->data);
-        self->is_reading_value = true;
-        self->value.append(bytes, count);
-        return self->value.size() > max_header_bytes ? 1 : 0;
+        return add_header_value(self->headers, {bytes, count}) ? 0 : 1;
     }
 
     static int on_headers(http_parser* parser)
     {
-        auto* self = static_cast<running_check*>(parser->data);
-        self->store_header();
-        self->has_headers = true;
+        static_cast<running_check*>(parser->data)->has_headers = true;
         return 0;
     }
 
@@ -94,7 +69,7 @@
         }
         http_parser_settings settings;
         http_parser_settings_init(&settings);
-        settings.on_header_field = on_field;
+        settings.on_header_field = on_name;
         settings.on_header_value = on_value;
         settings.on_headers_complete = on_headers;
         const auto length = static_cast<std::size_t>(count);
@@ -102,12 +77,14 @@
             http_parser_execute(&this->parser, &settings, bytes.data(), length);
         if (this->has_headers)
         {
-            if (!this->named_instance)
+            const std::optional<std::string> instance =
+                find_header(this->headers, this->request.header);
+            if (!instance)
             {
                 return check_outcome::unidentified;
             }
-            return *this->named_instance == this->request.instance ? check_outcome::answered
-                                                                   : check_outcome::replaced;
+            return *instance == this->request.instance ? check_outcome::answered
+                                                       : check_outcome::replaced;
         }
         return read != length ? std::optional(check_outcome::unidentified) : std::nullopt;
     }
--- a/src/spread/item_replica.cpp
+++ b/src/spread/item_replica.cpp
@@ -157,19 +157,28 @@
 
 } // namespace
 
-bool apply_change(item_replica& replica, const store_item& change)
+change_effect apply_change(item_replica& replica, const store_item& change)
 {
     const auto found = replica.items.find(change.key);
-    const bool is_already_deleted = replica.has_list && change.revision <= replica.revision;
-    if (found == replica.items.end() && (change.is_deleted || is_already_deleted))
+    if (found == replica.items.end() && change.is_deleted)
     {
-        return false;
+        return change_effect::already_known;
+    }
+    if (found == replica.items.end() && replica.has_list && change.revision <= replica.revision)
+    {
+        return change_effect::outdated;
     }
     if (found != replica.items.end())
     {
-        if (change.revision <= found->second.revision)
+        if (change.revision < found->second.revision)
+        {
+            return change_effect::outdated;
+        }
+        if (change.revision == found->second.revision)
         {
-            return false;
+            return !change.is_deleted && change.value == found->second.value
+                       ? change_effect::already_known
+                       : change_effect::conflicting;
         }
         unlink_revision(replica, found->second.revision, change.key);
     }
@@ -177,11 +186,11 @@
     {
         replica.items.erase(change.key);
         add_tombstone(replica, change.key, change.revision);
-        return true;
+        return change_effect::applied;
     }
     replica.items[change.key] = replica_item{change.value, change.revision};
     replica.by_revision.emplace(change.revision, change.key);
-    return true;
+    return change_effect::applied;
 }
 
 std::vector<std::string> remove_unlisted(item_replica& replica, const std::set<std::string>& listed,
--- a/src/spread/item_replica.hpp
+++ b/src/spread/item_replica.hpp
@@ -7,12 +7,14 @@
 #ifndef BRIARBARROW_SPREAD_ITEM_REPLICA_HPP
 #define BRIARBARROW_SPREAD_ITEM_REPLICA_HPP
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -111,9 +113,23 @@
     millis confirmed_at;
 };
 
-// Applies a change. Returns false when it changes nothing, as with an outdated change of an item
-// that has been deleted since.
-bool apply_change(item_replica& replica, const store_item& change);
+// What applying a change did.
+enum class change_effect : std::uint8_t
+{
+    applied,
+    // The replica holds this revision of the item, or has no item to delete.
+    already_known,
+    // The replica holds a later revision of the item, or has deleted it since.
+    outdated,
+    // The replica holds another value under the same revision.
+    conflicting
+};
+
+constexpr std::array<std::string_view, 4> change_effect_names{"applied", "already_known",
+                                                              "outdated", "conflicting"};
+
+// Applies a change unless the replica already has this one or a later one of the same item.
+change_effect apply_change(item_replica& replica, const store_item& change);
 
 // Removes the items that a complete list as of a revision does not hold, and returns their keys.
 // They leave no tombstones, since their deletions' revisions are unknown, so a requester behind the
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -98,6 +98,7 @@
 void apply_listed_keys(replica_sync& sync, const std::set<std::string>& listed,
                        std::uint64_t revision, sync_updates& updates)
 {
+    updates.list_size = listed.size();
     for (std::string& key : remove_unlisted(sync.replica, listed, revision))
     {
         updates.removed.push_back(std::move(key));
@@ -109,10 +110,19 @@
 {
     for (const store_item& change : changes)
     {
-        if (apply_change(sync.replica, change))
+        const change_effect effect = apply_change(sync.replica, change);
+        ++sync.counts.changes[static_cast<std::size_t>(effect)];
+        if (effect == change_effect::applied)
         {
             updates.changes.push_back(change);
         }
+        else if (effect != change_effect::already_known)
+        {
+            const auto held = sync.replica.items.find(change.key);
+            updates.rejected.push_back(
+                {effect, change.key, change.revision,
+                 held == sync.replica.items.end() ? sync.replica.revision : held->second.revision});
+        }
     }
 }
 
--- a/src/spread/replica_sync.hpp
+++ b/src/spread/replica_sync.hpp
@@ -6,6 +6,7 @@
 #ifndef BRIARBARROW_SPREAD_REPLICA_SYNC_HPP
 #define BRIARBARROW_SPREAD_REPLICA_SYNC_HPP
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -50,11 +51,24 @@
     std::optional<store_call> call;
 };
 
+// A change that the replica did not apply: outdated, or in conflict with what it holds.
+struct rejected_change
+{
+    change_effect effect = change_effect::outdated;
+    std::string key;
+    std::uint64_t revision = 0;
+    // Revision that the replica holds; that of the whole replica if it has no such item.
+    std::uint64_t held_revision = 0;
+};
+
 // Updates from the store and from other daemons.
 struct sync_updates
 {
     std::vector<store_item> changes;
     std::vector<std::string> removed;
+    std::vector<rejected_change> rejected;
+    // Number of items of a complete list that was received.
+    std::optional<std::size_t> list_size;
     // The replica's list is complete, as of `confirmed_at`.
     bool is_complete = false;
     millis confirmed_at;
@@ -70,6 +84,8 @@
     std::uint64_t responses_sent = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t malformed_datagrams = 0;
+    // Changes by effect.
+    std::array<std::uint64_t, change_effect_names.size()> changes{};
 };
 
 // The replica, the peers, and the state of the requests and calls that keep the replica up to date.
--- a/src/tagged/router_lists.cpp
+++ b/src/tagged/router_lists.cpp
@@ -99,6 +99,15 @@
                                        "version=" + std::to_string(list.version) +
                                            " before=" + std::to_string(before) +
                                            " routes=" + std::to_string(list.routes.size())});
+        return;
+    }
+    if (list.version < before)
+    {
+        state.state_changes.push_back(
+            {state_change_kind::routes_outdated,
+             no_backend,
+             {},
+             "version=" + std::to_string(list.version) + " in_force=" + std::to_string(before)});
     }
 }
 
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -135,16 +135,18 @@
     backend_listed,
     backend_unlisted,
     routes_applied,
+    routes_outdated,
     flow_reset,
     process_paused,
     zone_unreachable,
     zone_reachable
 };
 
-constexpr std::array<std::string_view, 12> state_change_kind_names{
-    "backend_suspected", "backend_answers", "check_failed",      "backend_set_aside",
-    "backend_on_trial",  "backend_listed",  "backend_unlisted",  "routes_taken",
-    "flow_given_up",     "stood_still",     "zone_out_of_reach", "zone_in_reach"};
+constexpr std::array<std::string_view, 13> state_change_kind_names{
+    "backend_suspected", "backend_answers", "check_failed",     "backend_set_aside",
+    "backend_on_trial",  "backend_listed",  "backend_unlisted", "routes_taken",
+    "routes_outdated",   "flow_given_up",   "stood_still",      "zone_out_of_reach",
+    "zone_in_reach"};
 
 // One such event.
 struct state_change
--- a/src/testing/net_test.cpp
+++ b/src/testing/net_test.cpp
@@ -108,6 +108,28 @@
     CHECK(get(channel, "/good", millis{2'000}).body == "again");
 }
 
+TEST_CASE("each response has its own headers, whose names are found in any case")
+{
+    const endpoint address = free_address();
+    auto server = http_responder::open(
+        address,
+        [](const http_query& query)
+        {
+            http_page page;
+            page.status = 503;
+            page.headers = query.path == "/first" ? "X-First: 1\r\nx-second: two words\r\n" : "";
+            return page;
+        });
+    REQUIRE(server);
+    http_channel channel(address);
+    const http_reply first = get(channel, "/first", millis{2'000});
+    CHECK(find_header(first.headers, "x-first") == "1");
+    CHECK(find_header(first.headers, "X-Second") == "two words");
+    const http_reply second = get(channel, "/second", millis{2'000});
+    CHECK(second.status == 503);
+    CHECK_FALSE(find_header(second.headers, "x-first"));
+}
+
 TEST_CASE("a request for a deferred page stays pending until the page is available")
 {
     const endpoint address = free_address();
--- a/src/testing/platform_codec_test.cpp
+++ b/src/testing/platform_codec_test.cpp
@@ -255,6 +255,16 @@
     CHECK(decode_store_response(read, reply_of(200, events)).outcome == store_outcome::malformed);
 }
 
+TEST_CASE("decode_store_response: the era is read from the headers of answers and of failures")
+{
+    http_reply reply = reply_of(410, "");
+    CHECK_FALSE(decode_store_response(watch_call(), reply).store_era);
+    reply.headers.entries = {{"Content-Length", "0"}, {"store-era", "3"}};
+    CHECK(decode_store_response(watch_call(), reply).store_era == 3);
+    reply.headers.entries = {{"Store-Era", "three"}};
+    CHECK_FALSE(decode_store_response(watch_call(), reply).store_era);
+}
+
 TEST_CASE("make_request_target: matches the platform's documentation and escapes keys")
 {
     CHECK(make_request_target(watch_call()) ==
--- a/src/testing/spread_test.cpp
+++ b/src/testing/spread_test.cpp
@@ -391,9 +391,9 @@
     confirm_replica(replica, 6, millis{0});
     apply_change(replica, store_item{"a", "", 8, true});
     confirm_replica(replica, 9, millis{0});
-    CHECK_FALSE(apply_change(replica, put("a", "1", 5)));
+    CHECK(apply_change(replica, put("a", "1", 5)) == change_effect::outdated);
     CHECK(replica.items.empty());
-    CHECK(apply_change(replica, put("a", "2", 12)));
+    CHECK(apply_change(replica, put("a", "2", 12)) == change_effect::applied);
 }
 
 TEST_CASE("change responses fit a datagram, and a duplicate response is not accepted")
