--- /dev/null
+++ b/src/testing/replica_fleet.hpp
@@ -0,0 +1,310 @@
+// Daemons that keep replicas of a store, in memory and on a simulated clock: the real replica sync,
+// with a simulated store and network.
+#ifndef BRIARBARROW_TESTING_REPLICA_FLEET_HPP
+#define BRIARBARROW_TESTING_REPLICA_FLEET_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "spread/replica_sync.hpp"
+
+namespace briarbarrow
+{
+
+inline endpoint address_of(int number)
+{
+    return *parse_endpoint("10.0." + std::to_string(number / 250) + "." +
+                           std::to_string(number % 250 + 1) + ":7720");
+}
+
+inline peer_report report_of(int number, const std::string& zone)
+{
+    peer_report report;
+    report.address = address_of(number);
+    report.zone = zone;
+    report.started = 1'000;
+    return report;
+}
+
+inline store_item put(const std::string& key, const std::string& value, std::uint64_t revision)
+{
+    return store_item{key, value, revision, false};
+}
+
+inline std::map<std::string, std::string> values_of(const item_replica& replica)
+{
+    std::map<std::string, std::string> values;
+    for (const auto& [key, item] : replica.items)
+    {
+        values[key] = item.value;
+    }
+    return values;
+}
+
+// A store in memory: current items, and the history of changes for watches.
+struct simulated_store
+{
+    std::map<std::string, store_item> items;
+    std::vector<store_item> changes;
+    std::uint64_t revision = 10;
+    std::uint64_t oldest = 0;
+    std::uint64_t era = 1;
+    bool is_down = false;
+    std::uint64_t calls = 0;
+
+    void write(const std::string& key, const std::string& value)
+    {
+        ++this->revision;
+        this->items[key] = put(key, value, this->revision);
+        this->changes.push_back(this->items[key]);
+    }
+
+    void remove(const std::string& key)
+    {
+        ++this->revision;
+        this->items.erase(key);
+        this->changes.push_back(store_item{key, "", this->revision, true});
+    }
+
+    void compact_history()
+    {
+        this->changes.clear();
+        this->oldest = this->revision;
+    }
+
+    // Comes back from a copy taken earlier: what was written since is gone, and its revisions are
+    // given out again.
+    void restore(const simulated_store& copy)
+    {
+        const std::uint64_t next_era = this->era + 1;
+        const std::uint64_t calls = this->calls;
+        *this = copy;
+        this->era = next_era;
+        this->calls = calls;
+    }
+
+    bool has_history(const store_call& call) const
+    {
+        return call.after_revision >= this->oldest && call.after_revision <= this->revision;
+    }
+
+    bool has_response(const store_call& call) const
+    {
+        return call.kind == store_call_kind::read || this->is_down ||
+               this->revision > call.after_revision || !this->has_history(call);
+    }
+
+    store_response respond(const store_call& call)
+    {
+        ++this->calls;
+        store_response response;
+        if (this->is_down)
+        {
+            response.outcome = store_outcome::refused;
+            return response;
+        }
+        response.outcome = store_outcome::answered;
+        response.store_revision = this->revision;
+        response.store_era = this->era;
+        if (call.kind == store_call_kind::read)
+        {
+            for (const auto& [key, item] : this->items)
+            {
+                response.items.push_back(item);
+            }
+            return response;
+        }
+        if (!this->has_history(call))
+        {
+            response.outcome = store_outcome::history_compacted;
+            return response;
+        }
+        for (const store_item& change : this->changes)
+        {
+            if (change.revision > call.after_revision)
+            {
+                response.items.push_back(change);
+            }
+        }
+        return response;
+    }
+};
+
+// Daemons, a store and a network between them, on a simulated clock.
+struct replica_fleet
+{
+    struct member
+    {
+        replica_sync sync;
+        bool is_up = true;
+        bool reaches_store = true;
+        std::optional<store_call> call;
+        millis called_at;
+    };
+
+    struct packet
+    {
+        millis due;
+        endpoint from;
+        endpoint to;
+        message_bytes bytes;
+    };
+
+    simulated_store store;
+    std::vector<member> members;
+    std::vector<packet> packets;
+    millis now{100'000};
+    std::mt19937_64 random{7};
+    double loss_rate = 0;
+
+    replica_fleet(int count, int zones)
+    {
+        this->store.write("op/config", std::string(3'000, 'c'));
+        for (int i = 0; i < count; ++i)
+        {
+            this->add("zone-" + std::to_string(i % zones));
+        }
+    }
+
+    void add(const std::string& zone)
+    {
+        member& added = this->members.emplace_back();
+        const int number = static_cast<int>(this->members.size()) - 1;
+        start_replica_sync(added.sync, report_of(number, zone), {address_of(0), address_of(1)},
+                           static_cast<std::uint64_t>(number) + 1);
+    }
+
+    void send_actions(member& from, const sync_actions& actions)
+    {
+        for (const outgoing_datagram& datagram : actions.datagrams)
+        {
+            const bool is_lost =
+                std::uniform_real_distribution<>(0, 1)(this->random) < this->loss_rate;
+            if (!is_lost)
+            {
+                this->packets.push_back({this->now + millis{1}, from.sync.peers.self.address,
+                                         datagram.to, datagram.bytes});
+            }
+        }
+        if (actions.call)
+        {
+            from.call = actions.call;
+            from.called_at = this->now;
+        }
+    }
+
+    void serve_store_call(member& daemon)
+    {
+        if (!daemon.call)
+        {
+            return;
+        }
+        const bool wait_elapsed = this->now >= daemon.called_at + daemon.call->wait;
+        if (!daemon.reaches_store)
+        {
+            if (this->now >= daemon.called_at + daemon.call->timeout)
+            {
+                daemon.call.reset();
+                sync_updates updates;
+                handle_store_response(daemon.sync, store_response{}, this->now, updates);
+            }
+            return;
+        }
+        if (this->now > daemon.called_at + millis{4} &&
+            (wait_elapsed || this->store.has_response(*daemon.call)))
+        {
+            const store_response response = this->store.respond(*daemon.call);
+            daemon.call.reset();
+            sync_updates updates;
+            handle_store_response(daemon.sync, response, this->now, updates);
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<packet> due;
+        std::erase_if(this->packets,
+                      [this, &due](packet& entry)
+                      {
+                          if (entry.due <= this->now)
+                          {
+                              due.push_back(std::move(entry));
+                              return true;
+                          }
+                          return false;
+                      });
+        for (const packet& entry : due)
+        {
+            for (member& daemon : this->members)
+            {
+                if (daemon.is_up && daemon.sync.peers.self.address == entry.to)
+                {
+                    sync_actions actions;
+                    sync_updates updates;
+                    handle_daemon_datagram(daemon.sync, entry.from, entry.bytes, this->now, actions,
+                                           updates);
+                    this->send_actions(daemon, actions);
+                }
+            }
+        }
+    }
+
+    void run(std::int64_t duration_ms)
+    {
+        for (std::int64_t i = 0; i < duration_ms; ++i)
+        {
+            this->now = this->now + millis{1};
+            this->deliver();
+            for (member& daemon : this->members)
+            {
+                if (!daemon.is_up)
+                {
+                    continue;
+                }
+                this->serve_store_call(daemon);
+                if (this->now.count % 20 == 0)
+                {
+                    sync_actions actions;
+                    tick_replica_sync(daemon.sync, this->now, actions);
+                    this->send_actions(daemon, actions);
+                }
+            }
+        }
+    }
+
+    // True when the replica of every running daemon equals the store.
+    bool all_match_store() const
+    {
+        std::map<std::string, std::string> wanted;
+        for (const auto& [key, item] : this->store.items)
+        {
+            wanted[key] = item.value;
+        }
+        for (const member& daemon : this->members)
+        {
+            if (daemon.is_up && values_of(daemon.sync.replica) != wanted)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    int count_followers() const
+    {
+        int count = 0;
+        for (const member& daemon : this->members)
+        {
+            count += daemon.is_up && daemon.sync.assigned_role.follows_store ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+} // namespace briarbarrow
+
+#endif
