Changes are ordered by the store's era and revision

Cause: the replica orders changes by the store's revision alone. After the restore revisions are given out again; a new change with a lower or equal revision was dropped as already known, what the store had lost stayed in use, and a watch whose revision was given out again missed changes without a 410. Class: an order by a counter that is valid only within one incarnation of its issuer. Change: store_position, era and revision, takes the revision's place in the follower, the replica, cursors, tombstones and messages between daemons. A response of another era than the watched position, or between two pages, starts a new read; one of an earlier era is ignored. The first list of a new era makes requesters get the complete list. Conclusion: any position of a later era is later, so no comparison of revisions crosses a restore.

--- a/src/follow/store_follower.cpp
+++ b/src/follow/store_follower.cpp
@@ -13,7 +13,7 @@
     follower.is_reading = true;
     follower.read_after_key.clear();
     follower.read_keys.clear();
-    follower.read_revision = 0;
+    follower.read_position = {};
 }
 
 void schedule_retry(store_follower& follower, millis now)
@@ -24,27 +24,46 @@
     ++follower.failures;
 }
 
+// Everything is read again, since no watch can start at the position reached so far.
+void handle_lost_history(store_follower& follower, millis now)
+{
+    follower.unwatchable_position =
+        std::max(follower.unwatchable_position, follower.watched_position);
+    start_read(follower);
+    follower.next_call = now;
+}
+
 void finish_read(store_follower& follower, store_updates& updates)
 {
     updates.listed = std::move(follower.read_keys);
     follower.read_keys.clear();
     follower.is_reading = false;
-    follower.watched_revision = follower.read_revision;
+    follower.watched_position = follower.read_position;
     updates.is_complete = true;
-    updates.revision = follower.read_revision;
+    updates.position = follower.read_position;
+}
+
+void add_changes(const store_follower& follower, const store_response& response,
+                 store_updates& updates)
+{
+    for (const store_item& item : response.items)
+    {
+        store_item& change = updates.changes.emplace_back(item);
+        change.position.era = follower.era;
+    }
 }
 
 void apply_page(store_follower& follower, const store_response& response, store_updates& updates)
 {
     if (follower.read_after_key.empty())
     {
-        follower.read_revision = response.store_revision;
+        follower.read_position = {follower.era, response.store_revision};
     }
     for (const store_item& item : response.items)
     {
         follower.read_keys.insert(item.key);
-        updates.changes.push_back(item);
     }
+    add_changes(follower, response, updates);
     if (response.has_more && !response.items.empty())
     {
         follower.read_after_key = response.items.back().key;
@@ -55,22 +74,36 @@
 
 void apply_events(store_follower& follower, const store_response& response, store_updates& updates)
 {
-    updates.changes = response.items;
-    follower.watched_revision = std::max(follower.watched_revision, response.store_revision);
+    add_changes(follower, response, updates);
+    follower.watched_position =
+        std::max(follower.watched_position, {follower.era, response.store_revision});
     updates.is_complete = true;
-    updates.revision = follower.watched_revision;
+    updates.position = follower.watched_position;
+}
+
+// True when the response continues what the call asked for: the next pages of a read, or the
+// changes since a position. After a restore the store holds another history.
+bool is_of_same_history(const store_follower& follower)
+{
+    if (follower.is_reading)
+    {
+        return follower.read_after_key.empty() || follower.read_position.era == follower.era;
+    }
+    return follower.watched_position.era == follower.era;
 }
 
 } // namespace
 
-void skip_read(store_follower& follower, std::uint64_t revision)
+void skip_read(store_follower& follower, const store_position& position)
 {
-    if (follower.is_calling || revision <= follower.unwatchable_revision)
+    if (follower.is_calling || position <= follower.unwatchable_position ||
+        position.era < follower.era)
     {
         return;
     }
     follower.is_reading = false;
-    follower.watched_revision = std::max(follower.watched_revision, revision);
+    follower.era = position.era;
+    follower.watched_position = std::max(follower.watched_position, position);
 }
 
 std::optional<store_call> next_store_call(store_follower& follower, millis now)
@@ -89,7 +122,7 @@
         return call;
     }
     call.kind = store_call_kind::watch;
-    call.after_revision = follower.watched_revision;
+    call.after_revision = follower.watched_position.revision;
     call.wait = follower.limits.watch_wait;
     call.timeout = follower.limits.watch_wait + follower.limits.watch_slack;
     return call;
@@ -99,21 +132,24 @@
                            store_updates& updates)
 {
     follower.is_calling = false;
-    if (response.outcome == store_outcome::history_compacted)
+    if (response.store_era && *response.store_era < follower.era)
     {
-        follower.unwatchable_revision =
-            std::max(follower.unwatchable_revision, follower.watched_revision);
-        start_read(follower);
-        follower.next_call = now;
+        // Sent before the restore.
+        schedule_retry(follower, now);
+        return;
+    }
+    follower.era = response.store_era.value_or(follower.era);
+    if (response.outcome == store_outcome::history_compacted || !is_of_same_history(follower))
+    {
+        handle_lost_history(follower, now);
         return;
     }
-    // The store is back at an older revision than it had before.
+    // The store has gone back within an era.
     const bool went_back =
-        !follower.is_reading && response.store_revision < follower.watched_revision;
+        !follower.is_reading && response.store_revision < follower.watched_position.revision;
     if (response.outcome == store_outcome::answered && went_back)
     {
-        follower.unwatchable_revision = follower.watched_revision;
-        start_read(follower);
+        handle_lost_history(follower, now);
         schedule_retry(follower, now);
         return;
     }
--- a/src/follow/store_follower.hpp
+++ b/src/follow/store_follower.hpp
@@ -1,10 +1,10 @@
 // Follows all items of a key-value store: reads them once, page by page, then watches for changes
-// from that revision on. Decides the next call and interprets its response; an adapter makes the
+// from that position on. Decides the next call and interprets its response; an adapter makes the
 // calls.
 //
 // An idle watch and one on a dead connection look the same, so a watch asks for a response within
 // `watch_wait` even when nothing changed, and times out `watch_slack` later. When the store has
-// compacted the history that a watch needs, or its revision has gone back, all items are read
+// compacted the history that a watch needs, or has come back from an older copy, all items are read
 // again. Which items no longer exist is known only at the end of a read. A read that is interrupted
 // continues where it stopped, so that many daemons that start at once on a busy store do not read
 // the same pages again and again.
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "core/clock.hpp"
+#include "follow/store_position.hpp"
 
 namespace briarbarrow
 {
@@ -48,7 +49,8 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0;
+    // Position of its latest change. In a response only the revision is set.
+    store_position position;
     bool is_deleted = false;
 };
 
@@ -109,9 +111,9 @@
     std::vector<store_item> changes;
     // All current keys, at the end of a read.
     std::optional<std::set<std::string>> listed;
-    // The follower has every change up to `revision`, as of now.
+    // The follower has every change up to `position`, as of now.
     bool is_complete = false;
-    std::uint64_t revision = 0;
+    store_position position;
 };
 
 // State of a follower.
@@ -120,23 +122,25 @@
     follower_limits limits;
     bool is_reading = true;
     bool is_calling = false;
+    // The latest era that is known.
+    std::uint64_t era = 0;
     millis next_call;
     std::uint32_t failures = 0;
     // Last key of the pages read so far.
     std::string read_after_key;
-    // Revision of the first page of a read. The pages are not a snapshot, so the watch starts from
+    // Position of the first page of a read. The pages are not a snapshot, so the watch starts from
     // there.
-    std::uint64_t read_revision = 0;
-    // Every change up to this revision has been received.
-    std::uint64_t watched_revision = 0;
-    // The store has no history for watches that start at this revision or earlier.
-    std::uint64_t unwatchable_revision = 0;
+    store_position read_position;
+    // Every change up to this position has been received.
+    store_position watched_position;
+    // The store has no history for watches that start at this position or earlier.
+    store_position unwatchable_position;
     std::set<std::string> read_keys;
 };
 
-// Starts watching at a revision up to which another daemon has supplied all changes, without a read
+// Starts watching at a position up to which another daemon has supplied all changes, without a read
 // of its own. Does nothing if the store no longer has the history for that.
-void skip_read(store_follower& follower, std::uint64_t revision);
+void skip_read(store_follower& follower, const store_position& position);
 
 // Returns the next call if one is due and none is in progress.
 std::optional<store_call> next_store_call(store_follower& follower, millis now);
--- a/src/report/tagged_metrics.cpp
+++ b/src/report/tagged_metrics.cpp
@@ -58,7 +58,8 @@
     add_metric(page, "peer_datagrams_bad_total", "", "", known.counts.malformed_datagrams);
     add_metric_family(page, "replica_changes_total", "effect", change_effect_names,
                       known.counts.changes);
-    add_metric(page, "replica_revision", "", "", known.replica.revision);
+    add_metric(page, "replica_era", "", "", known.replica.position.era);
+    add_metric(page, "replica_revision", "", "", known.replica.position.revision);
 }
 
 } // namespace
--- a/src/spread/item_replica.cpp
+++ b/src/spread/item_replica.cpp
@@ -11,65 +11,66 @@
 // Bytes that an item takes in a response beside its key and value.
 constexpr std::size_t item_overhead_bytes = 32;
 
-// Removes a key from the index by revision.
-void unlink_revision(item_replica& replica, std::uint64_t revision, const std::string& key)
+// Removes a key from the index by position.
+void unlink_position(item_replica& replica, const store_position& position, const std::string& key)
 {
-    const auto [begin, end] = replica.by_revision.equal_range(revision);
-    for (auto position = begin; position != end; ++position)
+    const auto [begin, end] = replica.by_position.equal_range(position);
+    for (auto entry = begin; entry != end; ++entry)
     {
-        if (position->second == key)
+        if (entry->second == key)
         {
-            replica.by_revision.erase(position);
+            replica.by_position.erase(entry);
             return;
         }
     }
 }
 
-void add_tombstone(item_replica& replica, const std::string& key, std::uint64_t revision)
+void add_tombstone(item_replica& replica, const std::string& key, const store_position& position)
 {
-    const auto position = std::upper_bound(
-        replica.tombstones.begin(), replica.tombstones.end(), revision,
-        [](std::uint64_t wanted, const tombstone& deleted) { return wanted < deleted.revision; });
-    replica.tombstones.insert(position, tombstone{key, revision});
+    const auto place =
+        std::upper_bound(replica.tombstones.begin(), replica.tombstones.end(), position,
+                         [](const store_position& wanted, const tombstone& deleted)
+                         { return wanted < deleted.position; });
+    replica.tombstones.insert(place, tombstone{key, position});
     while (replica.tombstones.size() > max_tombstones)
     {
-        replica.oldest_revision =
-            std::max(replica.oldest_revision, replica.tombstones.front().revision);
+        replica.oldest_position =
+            std::max(replica.oldest_position, replica.tombstones.front().position);
         replica.tombstones.pop_front();
     }
 }
 
-// Iterates over items and tombstones in the order of their revisions, starting after a revision.
+// Iterates over items and tombstones in the order of their positions, starting after one.
 struct change_iterator
 {
     const item_replica& replica;
-    std::multimap<std::uint64_t, std::string>::const_iterator item;
+    std::multimap<store_position, std::string>::const_iterator item;
     std::deque<tombstone>::const_iterator deletion;
 
-    change_iterator(const item_replica& replica, std::uint64_t after)
-        : replica(replica), item(replica.by_revision.upper_bound(after)),
+    change_iterator(const item_replica& replica, const store_position& after)
+        : replica(replica), item(replica.by_position.upper_bound(after)),
           deletion(std::upper_bound(replica.tombstones.begin(), replica.tombstones.end(), after,
-                                    [](std::uint64_t wanted, const tombstone& deleted)
-                                    { return wanted < deleted.revision; }))
+                                    [](const store_position& wanted, const tombstone& deleted)
+                                    { return wanted < deleted.position; }))
     {
     }
 
     bool is_done() const
     {
-        return this->item == this->replica.by_revision.end() &&
+        return this->item == this->replica.by_position.end() &&
                this->deletion == this->replica.tombstones.end();
     }
 
     bool is_deletion_next() const
     {
         return this->deletion != this->replica.tombstones.end() &&
-               (this->item == this->replica.by_revision.end() ||
-                this->deletion->revision <= this->item->first);
+               (this->item == this->replica.by_position.end() ||
+                this->deletion->position <= this->item->first);
     }
 
-    std::uint64_t revision() const
+    store_position position() const
     {
-        return this->is_deletion_next() ? this->deletion->revision : this->item->first;
+        return this->is_deletion_next() ? this->deletion->position : this->item->first;
     }
 
     std::string key() const
@@ -92,7 +93,7 @@
 {
     item_chunk chunk;
     chunk.key = change.key();
-    chunk.revision = change.revision();
+    chunk.position = change.position();
     chunk.is_deleted = change.is_deletion_next();
     if (chunk.is_deleted)
     {
@@ -113,7 +114,7 @@
 void discard_partial(change_requester& requester)
 {
     requester.partial_value.clear();
-    requester.cursor.partial_revision = 0;
+    requester.cursor.partial_position = {};
     requester.cursor.partial_bytes = 0;
 }
 
@@ -123,16 +124,16 @@
 {
     if (requester.is_listing)
     {
-        return requester.oldest_revision && *requester.oldest_revision != response.oldest_revision;
+        return requester.oldest_position && *requester.oldest_position != response.oldest_position;
     }
-    return requester.cursor.revision < response.oldest_revision;
+    return requester.cursor.position < response.oldest_position;
 }
 
 // True when a chunk starts an item or continues the partial value.
 bool continues_partial(const change_requester& requester, const item_chunk& chunk)
 {
     return chunk.offset == 0 || (chunk.offset == requester.partial_value.size() &&
-                                 chunk.revision == requester.cursor.partial_revision);
+                                 chunk.position == requester.cursor.partial_position);
 }
 
 // Appends a chunk to the partial value. Returns the item once it is complete.
@@ -145,11 +146,11 @@
     requester.partial_value += chunk.bytes;
     if (!chunk.is_deleted && !is_last_chunk(chunk))
     {
-        requester.cursor.partial_revision = chunk.revision;
+        requester.cursor.partial_position = chunk.position;
         requester.cursor.partial_bytes = requester.partial_value.size();
         return std::nullopt;
     }
-    store_item change{chunk.key, std::move(requester.partial_value), chunk.revision,
+    store_item change{chunk.key, std::move(requester.partial_value), chunk.position,
                       chunk.is_deleted};
     discard_partial(requester);
     return change;
@@ -164,66 +165,67 @@
     {
         return change_effect::already_known;
     }
-    if (found == replica.items.end() && replica.has_list && change.revision <= replica.revision)
+    if (found == replica.items.end() && replica.has_list && change.position <= replica.position)
     {
         return change_effect::outdated;
     }
     if (found != replica.items.end())
     {
-        if (change.revision < found->second.revision)
+        if (change.position < found->second.position)
         {
             return change_effect::outdated;
         }
-        if (change.revision == found->second.revision)
+        if (change.position == found->second.position)
         {
             return !change.is_deleted && change.value == found->second.value
                        ? change_effect::already_known
                        : change_effect::conflicting;
         }
-        unlink_revision(replica, found->second.revision, change.key);
+        unlink_position(replica, found->second.position, change.key);
     }
     if (change.is_deleted)
     {
         replica.items.erase(change.key);
-        add_tombstone(replica, change.key, change.revision);
+        add_tombstone(replica, change.key, change.position);
         return change_effect::applied;
     }
-    replica.items[change.key] = replica_item{change.value, change.revision};
-    replica.by_revision.emplace(change.revision, change.key);
+    replica.items[change.key] = replica_item{change.value, change.position};
+    replica.by_position.emplace(change.position, change.key);
     return change_effect::applied;
 }
 
 std::vector<std::string> remove_unlisted(item_replica& replica, const std::set<std::string>& listed,
-                                         std::uint64_t revision)
+                                         const store_position& position)
 {
     std::vector<std::string> removed;
     for (const auto& [key, item] : replica.items)
     {
-        if (listed.count(key) == 0 && item.revision <= revision)
+        if (listed.count(key) == 0 && item.position <= position)
         {
             removed.push_back(key);
         }
     }
     for (const std::string& key : removed)
     {
-        unlink_revision(replica, replica.items[key].revision, key);
+        unlink_position(replica, replica.items[key].position, key);
         replica.items.erase(key);
     }
-    if (!removed.empty())
+    // What the list of a new era lacks may have been an item at a requester, though not here.
+    if (!removed.empty() || position.era > replica.position.era)
     {
-        replica.oldest_revision = std::max(replica.oldest_revision, revision);
+        replica.oldest_position = std::max(replica.oldest_position, position);
     }
     return removed;
 }
 
-void confirm_replica(item_replica& replica, std::uint64_t revision, millis confirmed_at)
+void confirm_replica(item_replica& replica, const store_position& position, millis confirmed_at)
 {
     if (!replica.has_list)
     {
-        replica.oldest_revision = std::max(replica.oldest_revision, revision);
+        replica.oldest_position = std::max(replica.oldest_position, position);
     }
     replica.has_list = true;
-    replica.revision = std::max(replica.revision, revision);
+    replica.position = std::max(replica.position, position);
     replica.confirmed_at = std::max(replica.confirmed_at, confirmed_at);
 }
 
@@ -234,17 +236,17 @@
     response.number = request.number;
     response.has_list = replica.has_list;
     response.list_age = now - replica.confirmed_at;
-    response.oldest_revision = replica.oldest_revision;
-    response.revision = request.cursor.revision;
+    response.oldest_position = replica.oldest_position;
+    response.position = request.cursor.position;
     std::size_t used_bytes = 0;
-    for (change_iterator change(replica, request.cursor.revision); !change.is_done();
+    for (change_iterator change(replica, request.cursor.position); !change.is_done();
          change.advance())
     {
         const bool is_first = response.items.empty();
         const bool stays_together =
-            !is_first && change.revision() == response.items.back().revision;
+            !is_first && change.position() == response.items.back().position;
         const bool is_continuation =
-            is_first && change.revision() == request.cursor.partial_revision;
+            is_first && change.position() == request.cursor.partial_position;
         const std::size_t overhead_bytes = change.key().size() + item_overhead_bytes;
         item_chunk chunk =
             make_chunk(change, is_continuation ? request.cursor.partial_bytes : 0,
@@ -263,9 +265,9 @@
             response.has_more = true;
             return response;
         }
-        response.revision = change.revision();
+        response.position = change.position();
     }
-    response.revision = std::max(response.revision, replica.revision);
+    response.position = std::max(response.position, replica.position);
     return response;
 }
 
@@ -274,7 +276,7 @@
     const std::uint64_t number = requester.number;
     requester = change_requester{};
     requester.number = number;
-    requester.cursor.revision = replica.has_list ? replica.revision : 0;
+    requester.cursor.position = replica.has_list ? replica.position : store_position{};
     requester.is_listing = !replica.has_list;
 }
 
@@ -302,7 +304,7 @@
         updates.needs_request = true;
         return updates;
     }
-    requester.oldest_revision = response.oldest_revision;
+    requester.oldest_position = response.oldest_position;
     for (const item_chunk& chunk : response.items)
     {
         if (!continues_partial(requester, chunk))
@@ -323,10 +325,10 @@
         }
         updates.changes.push_back(std::move(*change));
     }
-    requester.cursor.revision = std::max(requester.cursor.revision, response.revision);
+    requester.cursor.position = std::max(requester.cursor.position, response.position);
     updates.needs_request = response.has_more;
     updates.is_complete = !response.has_more;
-    updates.revision = response.revision;
+    updates.position = response.position;
     updates.list_age = response.list_age;
     if (updates.is_complete && requester.is_listing)
     {
--- a/src/spread/item_replica.hpp
+++ b/src/spread/item_replica.hpp
@@ -1,9 +1,9 @@
 // A daemon's replica of the items in the store, from which other daemons can request the changes
-// since a revision. Deleted items leave tombstones for a while; a requester whose revision is older
+// since a position. Deleted items leave tombstones for a while; a requester whose position is older
 // than the oldest tombstone gets the complete list.
 //
-// A response fits a datagram, except that changes of one revision stay together. An item that does
-// not fit is sent in chunks; a request carries the revision and the offset reached.
+// A response fits a datagram, except that changes of one position stay together. An item that does
+// not fit is sent in chunks; a request carries the position and the offset reached.
 #ifndef BRIARBARROW_SPREAD_ITEM_REPLICA_HPP
 #define BRIARBARROW_SPREAD_ITEM_REPLICA_HPP
 
@@ -19,6 +19,7 @@
 
 #include "core/clock.hpp"
 #include "follow/store_follower.hpp"
+#include "follow/store_position.hpp"
 
 namespace briarbarrow
 {
@@ -28,12 +29,12 @@
 // Maximum number of tombstones kept; the oldest are dropped first.
 constexpr std::size_t max_tombstones = 4'000;
 
-// Progress of a requester: it has everything up to `revision`, and the first `partial_bytes` of the
-// item that was changed at `partial_revision`.
+// Progress of a requester: it has everything up to `position`, and the first `partial_bytes` of the
+// item that was changed at `partial_position`.
 struct change_cursor
 {
-    std::uint64_t revision = 0;
-    std::uint64_t partial_revision = 0;
+    store_position position;
+    store_position partial_position;
     std::uint64_t partial_bytes = 0;
 
     friend bool operator==(const change_cursor&, const change_cursor&) = default;
@@ -43,7 +44,7 @@
 struct item_chunk
 {
     std::string key;
-    std::uint64_t revision = 0;
+    store_position position;
     bool is_deleted = false;
     // Position of `bytes` in the value.
     std::uint64_t offset = 0;
@@ -71,10 +72,10 @@
     // The responder has a complete list, `list_age` old.
     bool has_list = false;
     millis list_age;
-    // Tombstones before this revision are gone: a requester behind it has to start again from 0.
-    std::uint64_t oldest_revision = 0;
-    // With this response applied, the requester has everything up to this revision.
-    std::uint64_t revision = 0;
+    // Tombstones before this position are gone: a requester behind it has to start again from 0.
+    store_position oldest_position;
+    // With this response applied, the requester has everything up to this position.
+    store_position position;
     // The responder has later changes, or the last item continues in the next response.
     bool has_more = false;
     std::vector<item_chunk> items;
@@ -86,28 +87,28 @@
 struct replica_item
 {
     std::string value;
-    std::uint64_t revision = 0;
+    store_position position;
 };
 
 // The deletion of an item.
 struct tombstone
 {
     std::string key;
-    std::uint64_t revision = 0;
+    store_position position;
 };
 
 // All items and the latest deletions.
 struct item_replica
 {
     std::map<std::string, replica_item> items;
-    // Keys by the revision of their latest change.
-    std::multimap<std::uint64_t, std::string> by_revision;
-    // Ordered by revision.
+    // Keys by the position of their latest change.
+    std::multimap<store_position, std::string> by_position;
+    // Ordered by position.
     std::deque<tombstone> tombstones;
-    // Every change up to this revision is applied.
-    std::uint64_t revision = 0;
-    // Deletions before this revision have no tombstones.
-    std::uint64_t oldest_revision = 0;
+    // Every change up to this position is applied.
+    store_position position;
+    // Deletions before this position have no tombstones.
+    store_position oldest_position;
     // The list is complete, as of `confirmed_at`.
     bool has_list = false;
     millis confirmed_at;
@@ -117,11 +118,11 @@
 enum class change_effect : std::uint8_t
 {
     applied,
-    // The replica holds this revision of the item, or has no item to delete.
+    // The replica holds this change of the item, or has no item to delete.
     already_known,
-    // The replica holds a later revision of the item, or has deleted it since.
+    // The replica holds a later change of the item, or has deleted it since.
     outdated,
-    // The replica holds another value under the same revision.
+    // The replica holds another value at the same position.
     conflicting
 };
 
@@ -131,14 +132,14 @@
 // Applies a change unless the replica already has this one or a later one of the same item.
 change_effect apply_change(item_replica& replica, const store_item& change);
 
-// Removes the items that a complete list as of a revision does not hold, and returns their keys.
-// They leave no tombstones, since their deletions' revisions are unknown, so a requester behind the
-// revision has to get the complete list.
+// Removes the items that a complete list as of a position does not hold, and returns their keys.
+// They leave no tombstones, since their deletions' positions are unknown, so a requester behind the
+// position has to get the complete list.
 std::vector<std::string> remove_unlisted(item_replica& replica, const std::set<std::string>& listed,
-                                         std::uint64_t revision);
+                                         const store_position& position);
 
-// Records that every change up to the revision is applied, as of `confirmed_at`.
-void confirm_replica(item_replica& replica, std::uint64_t revision, millis confirmed_at);
+// Records that every change up to the position is applied, as of `confirmed_at`.
+void confirm_replica(item_replica& replica, const store_position& position, millis confirmed_at);
 
 // Makes the response to a change request.
 change_response make_change_response(const item_replica& replica, const change_request& request,
@@ -152,10 +153,10 @@
     std::string partial_value;
     // Number of the latest request; raised once its response is accepted.
     std::uint64_t number = 0;
-    // A complete list is being received: its keys so far, and the responder's `oldest_revision`.
+    // A complete list is being received: its keys so far, and the responder's `oldest_position`.
     bool is_listing = true;
     std::set<std::string> listed;
-    std::optional<std::uint64_t> oldest_revision;
+    std::optional<store_position> oldest_position;
 };
 
 // Updates from one response.
@@ -164,9 +165,9 @@
     std::vector<store_item> changes;
     // All current keys, at the end of a complete list.
     std::optional<std::set<std::string>> listed;
-    // Everything up to `revision` has been received; it was current `list_age` ago.
+    // Everything up to `position` has been received; it was current `list_age` ago.
     bool is_complete = false;
-    std::uint64_t revision = 0;
+    store_position position;
     millis list_age;
     // The next request should follow at once.
     bool needs_request = false;
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -72,10 +72,10 @@
     if (sync.source && !sync.requested_at && now >= sync.next_request_at)
     {
         // Changes that came from the store meanwhile need not be requested.
-        if (sync.requester.cursor.revision < sync.replica.revision && !sync.requester.is_listing &&
+        if (sync.requester.cursor.position < sync.replica.position && !sync.requester.is_listing &&
             sync.requester.partial_value.empty())
         {
-            sync.requester.cursor.revision = sync.replica.revision;
+            sync.requester.cursor.position = sync.replica.position;
         }
         sync.next_request_at = now + change_request_interval;
         send_change_request(sync, now, actions);
@@ -90,16 +90,16 @@
     }
     if (sync.replica.has_list)
     {
-        skip_read(sync.follower, sync.replica.revision);
+        skip_read(sync.follower, sync.replica.position);
     }
     actions.call = next_store_call(sync.follower, now);
 }
 
 void apply_listed_keys(replica_sync& sync, const std::set<std::string>& listed,
-                       std::uint64_t revision, sync_updates& updates)
+                       const store_position& position, sync_updates& updates)
 {
     updates.list_size = listed.size();
-    for (std::string& key : remove_unlisted(sync.replica, listed, revision))
+    for (std::string& key : remove_unlisted(sync.replica, listed, position))
     {
         updates.removed.push_back(std::move(key));
     }
@@ -120,15 +120,16 @@
         {
             const auto held = sync.replica.items.find(change.key);
             updates.rejected.push_back(
-                {effect, change.key, change.revision,
-                 held == sync.replica.items.end() ? sync.replica.revision : held->second.revision});
+                {effect, change.key, change.position,
+                 held == sync.replica.items.end() ? sync.replica.position : held->second.position});
         }
     }
 }
 
-void confirm(replica_sync& sync, std::uint64_t revision, millis confirmed_at, sync_updates& updates)
+void confirm(replica_sync& sync, const store_position& position, millis confirmed_at,
+             sync_updates& updates)
 {
-    confirm_replica(sync.replica, revision, confirmed_at);
+    confirm_replica(sync.replica, position, confirmed_at);
     updates.is_complete = true;
     updates.confirmed_at = sync.replica.confirmed_at;
 }
@@ -152,13 +153,13 @@
     apply_changes(sync, received->changes, updates);
     if (received->listed)
     {
-        apply_listed_keys(sync, *received->listed, received->revision, updates);
+        apply_listed_keys(sync, *received->listed, received->position, updates);
     }
     if (received->is_complete)
     {
         // `list_age` is as of when the response was written. That was after the request was sent,
         // so measuring from the request never makes the list look newer than it is.
-        confirm(sync, received->revision, requested_at - received->list_age, updates);
+        confirm(sync, received->position, requested_at - received->list_age, updates);
     }
     if (received->needs_request)
     {
@@ -255,11 +256,11 @@
     apply_changes(sync, received.changes, updates);
     if (received.listed)
     {
-        apply_listed_keys(sync, *received.listed, received.revision, updates);
+        apply_listed_keys(sync, *received.listed, received.position, updates);
     }
     if (received.is_complete)
     {
-        confirm(sync, received.revision, now, updates);
+        confirm(sync, received.position, now, updates);
     }
 }
 
--- a/src/spread/replica_sync.hpp
+++ b/src/spread/replica_sync.hpp
@@ -1,8 +1,8 @@
 // Keeps a daemon's replica of the store up to date, from the store itself or from other daemons
 // that follow it. Performs no I/O: an adapter sends the datagrams and makes the store calls.
 //
-// Changes are ordered by their revision in the store, whichever source delivers them, so updates
-// from several sources converge to the same list.
+// Changes are ordered by their position in the store's history, whichever source delivers them, so
+// updates from several sources converge to the same list.
 #ifndef BRIARBARROW_SPREAD_REPLICA_SYNC_HPP
 #define BRIARBARROW_SPREAD_REPLICA_SYNC_HPP
 
@@ -56,9 +56,9 @@
 {
     change_effect effect = change_effect::outdated;
     std::string key;
-    std::uint64_t revision = 0;
-    // Revision that the replica holds; that of the whole replica if it has no such item.
-    std::uint64_t held_revision = 0;
+    store_position position;
+    // Position that the replica holds; that of the whole replica if it has no such item.
+    store_position held_position;
 };
 
 // Updates from the store and from other daemons.
--- a/src/spread/spread_messages.cpp
+++ b/src/spread/spread_messages.cpp
@@ -15,13 +15,14 @@
                          v.store_age, v.openings_per_s)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::reported_peer, v.report, v.age)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::gossip_message, v.sender, v.others, v.wants_reply)
-BRIARBARROW_PACK_MEMBERS(briarbarrow::change_cursor, v.revision, v.partial_revision,
+BRIARBARROW_PACK_MEMBERS(briarbarrow::store_position, v.era, v.revision)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::change_cursor, v.position, v.partial_position,
                          v.partial_bytes)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::change_request, v.number, v.cursor)
-BRIARBARROW_PACK_MEMBERS(briarbarrow::item_chunk, v.key, v.revision, v.is_deleted, v.offset,
+BRIARBARROW_PACK_MEMBERS(briarbarrow::item_chunk, v.key, v.position, v.is_deleted, v.offset,
                          v.value_bytes, v.bytes)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::change_response, v.number, v.has_list, v.list_age,
-                         v.oldest_revision, v.revision, v.has_more, v.items)
+                         v.oldest_position, v.position, v.has_more, v.items)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::fault_report, v.fault, v.backend, v.answered_since_report)
 
 } // namespace adaptor
--- a/src/testing/replica_fleet.hpp
+++ b/src/testing/replica_fleet.hpp
@@ -32,7 +32,7 @@
 
 inline store_item put(const std::string& key, const std::string& value, std::uint64_t revision)
 {
-    return store_item{key, value, revision, false};
+    return store_item{key, value, {0, revision}, false};
 }
 
 inline std::map<std::string, std::string> values_of(const item_replica& replica)
@@ -67,7 +67,7 @@
     {
         ++this->revision;
         this->items.erase(key);
-        this->changes.push_back(store_item{key, "", this->revision, true});
+        this->changes.push_back(store_item{key, "", {0, this->revision}, true});
     }
 
     void compact_history()
@@ -125,7 +125,7 @@
         }
         for (const store_item& change : this->changes)
         {
-            if (change.revision > call.after_revision)
+            if (change.position.revision > call.after_revision)
             {
                 response.items.push_back(change);
             }
--- a/src/testing/spread_test.cpp
+++ b/src/testing/spread_test.cpp
@@ -31,11 +31,11 @@
         }
         if (updates->listed)
         {
-            remove_unlisted(to, *updates->listed, updates->revision);
+            remove_unlisted(to, *updates->listed, updates->position);
         }
         if (updates->is_complete)
         {
-            confirm_replica(to, updates->revision, now);
+            confirm_replica(to, updates->position, now);
             return;
         }
     }
@@ -62,7 +62,7 @@
             const std::size_t size = random() % 5 == 0 ? 4'000 : 100;
             const std::string value(size, static_cast<char>('a' + random() % 26));
             apply_change(responder,
-                         store_item{key, is_deletion ? "" : value, revision, is_deletion});
+                         store_item{key, is_deletion ? "" : value, {0, revision}, is_deletion});
             if (random() % 40 == 0)
             {
                 std::set<std::string> listed;
@@ -73,9 +73,9 @@
                         listed.insert(name);
                     }
                 }
-                remove_unlisted(responder, listed, ++revision);
+                remove_unlisted(responder, listed, {0, ++revision});
             }
-            confirm_replica(responder, revision, millis{1'000});
+            confirm_replica(responder, {0, revision}, millis{1'000});
         };
         change_something();
         start_requests(requester, copy);
@@ -101,11 +101,11 @@
             }
             if (updates->listed)
             {
-                remove_unlisted(copy, *updates->listed, updates->revision);
+                remove_unlisted(copy, *updates->listed, updates->position);
             }
             if (updates->is_complete)
             {
-                confirm_replica(copy, updates->revision, millis{1'000});
+                confirm_replica(copy, updates->position, millis{1'000});
             }
         }
         request_until_complete(responder, copy, requester, millis{1'000});
@@ -117,9 +117,9 @@
 {
     item_replica replica;
     apply_change(replica, put("a", "1", 5));
-    confirm_replica(replica, 6, millis{0});
-    apply_change(replica, store_item{"a", "", 8, true});
-    confirm_replica(replica, 9, millis{0});
+    confirm_replica(replica, {0, 6}, millis{0});
+    apply_change(replica, store_item{"a", "", {0, 8}, true});
+    confirm_replica(replica, {0, 9}, millis{0});
     CHECK(apply_change(replica, put("a", "1", 5)) == change_effect::outdated);
     CHECK(replica.items.empty());
     CHECK(apply_change(replica, put("a", "2", 12)) == change_effect::applied);
@@ -134,7 +134,7 @@
                                   static_cast<std::uint64_t>(i) + 2));
     }
     apply_change(replica, put("op/config", std::string(90'000, 'c'), 900));
-    confirm_replica(replica, 900, millis{0});
+    confirm_replica(replica, {0, 900}, millis{0});
     change_requester requester;
     item_replica copy;
     std::optional<response_updates> updates;
@@ -333,9 +333,9 @@
     gossip.sender = report_of(1, "a");
     gossip.others = {{report_of(2, "b"), millis{7}}};
     change_response response;
-    response.items = {{"k", 3, false, 0, 5, "value"}};
+    response.items = {{"k", {1, 3}, false, 0, 5, "value"}};
     const std::vector<daemon_message> messages{
-        gossip, change_request{7, {1, 2, 3}}, response,
+        gossip, change_request{7, {{2, 1}, {2, 2}, 3}}, response,
         fault_report{backend_fault::missing_answer, "i-7", 3}};
     std::mt19937_64 random(20261204);
     int refused = 0;
--- a/src/testing/store_follower_test.cpp
+++ b/src/testing/store_follower_test.cpp
@@ -9,12 +9,12 @@
 
 store_item item(const std::string& key, std::uint64_t revision)
 {
-    return store_item{key, "value", revision, false};
+    return store_item{key, "value", {0, revision}, false};
 }
 
 store_item deletion(const std::string& key, std::uint64_t revision)
 {
-    return store_item{key, "", revision, true};
+    return store_item{key, "", {0, revision}, true};
 }
 
 store_response response_with(std::uint64_t revision, std::vector<store_item> items,
@@ -35,6 +35,12 @@
     return response;
 }
 
+store_response in_era(std::uint64_t era, store_response response)
+{
+    response.store_era = era;
+    return response;
+}
+
 // Drives a follower on a simulated clock.
 struct follower_driver
 {
@@ -110,7 +116,7 @@
 TEST_CASE("a watch starts from changes supplied by another daemon without a read")
 {
     follower_driver driver;
-    skip_read(driver.follower, 12);
+    skip_read(driver.follower, {0, 12});
     const store_call watch = driver.call();
     CHECK(watch.kind == store_call_kind::watch);
     CHECK(watch.after_revision == 12);
@@ -122,10 +128,10 @@
     driver.read();
     driver.call();
     driver.handle(failed(store_outcome::history_compacted));
-    skip_read(driver.follower, 7);
+    skip_read(driver.follower, {0, 7});
     CHECK(driver.call().kind == store_call_kind::read);
     driver.handle(failed(store_outcome::unreachable));
-    skip_read(driver.follower, 8);
+    skip_read(driver.follower, {0, 8});
     CHECK(driver.call().kind == store_call_kind::watch);
 }
 
@@ -200,3 +206,66 @@
     const millis detection_time = limits.watch_wait + limits.watch_slack + limits.first_retry_delay;
     CHECK(detection_time + limits.watch_slack < millis{3'000});
 }
+
+TEST_CASE("a read that the store's restore interrupts starts again")
+{
+    follower_driver driver;
+    driver.call();
+    driver.handle(in_era(1, response_with(7, {item("a", 3)}, true)));
+    driver.call();
+    CHECK_FALSE(driver.handle(in_era(2, response_with(5, {item("b", 4)}))).is_complete);
+    CHECK(driver.call().after_key.empty());
+    const store_updates updates = driver.handle(in_era(2, response_with(5, {item("b", 4)})));
+    CHECK(updates.listed == std::set<std::string>{"b"});
+    CHECK(updates.position == store_position{2, 5});
+    REQUIRE(updates.changes.size() == 1);
+    CHECK(updates.changes[0].position == store_position{2, 4});
+}
+
+TEST_CASE("a response of another era is not taken for the changes since the watched revision")
+{
+    follower_driver driver;
+    driver.call();
+    driver.handle(in_era(1, response_with(7, {item("a", 3)})));
+    driver.call();
+    CHECK_FALSE(driver.handle(in_era(2, response_with(9, {item("b", 8)}))).is_complete);
+    CHECK(driver.call().kind == store_call_kind::read);
+}
+
+TEST_CASE("a late response from before the store's restore is ignored")
+{
+    follower_driver driver;
+    driver.call();
+    driver.handle(in_era(2, response_with(7, {item("a", 3)})));
+    driver.call();
+    const store_updates updates = driver.handle(in_era(1, response_with(20, {item("a", 19)})));
+    CHECK(updates.changes.empty());
+    CHECK_FALSE(updates.is_complete);
+    CHECK(driver.call().after_revision == 7);
+}
+
+TEST_CASE("a refusal that shows a new era leads to a new read")
+{
+    follower_driver driver;
+    driver.call();
+    driver.handle(in_era(1, response_with(7, {item("a", 3)})));
+    driver.call();
+    driver.handle(in_era(2, failed(store_outcome::refused)));
+    CHECK(driver.call().kind == store_call_kind::read);
+}
+
+TEST_CASE("changes that another daemon supplied from before the store's restore do not skip a read")
+{
+    follower_driver driver;
+    driver.call();
+    driver.handle(in_era(1, response_with(7, {item("a", 3)})));
+    driver.call();
+    driver.handle(in_era(2, failed(store_outcome::history_compacted)));
+    skip_read(driver.follower, {1, 9});
+    CHECK(driver.call().kind == store_call_kind::read);
+    driver.handle(failed(store_outcome::unreachable));
+    skip_read(driver.follower, {2, 3});
+    const store_call watch = driver.call();
+    CHECK(watch.kind == store_call_kind::watch);
+    CHECK(watch.after_revision == 3);
+}
