A draining backend server stays so for its incarnation

What callers would see: new flows at a backend server that is about to stop, for as long as an older entry says ready. Cause: the store can come back from a copy that is older than the report of the drain; the entry that then says ready was taken at its word, also after the server had left. Found by the search for the restored store's class of fault: the order of a backend server's reports was the order of their arrival. Change: within an incarnation a drain is never taken back; a later incarnation under the same name serves again. Conclusion: a drain that the store has lost is remembered by every daemon that knew it; one that starts in between knows the store's entry only.

--- a/src/tagged/backend_directory.cpp
+++ b/src/tagged/backend_directory.cpp
@@ -94,7 +94,7 @@
         return registration_effect::none;
     }
     const bool is_restarted = !is_new && is_new_incarnation(entry, registration);
-    const bool was_draining = entry.phase == backend_phase::draining;
+    const bool was_draining = !is_new && !is_restarted && entry.registration.is_draining;
     if (is_restarted)
     {
         remove_from_indexes(directory, index);
@@ -104,18 +104,20 @@
         entry.evidence.open_flows = before.open_flows;
     }
     entry.registration = registration;
+    entry.registration.is_draining = registration.is_draining || was_draining;
     entry.service = service_id_of(registration.service);
     entry.tag = tag_of(registration.name);
     entry.warm_until = now + registration.warm_up_remaining;
-    set_phase(entry, registration.is_draining ? backend_phase::draining : backend_phase::serving,
+    set_phase(entry,
+              entry.registration.is_draining ? backend_phase::draining : backend_phase::serving,
               now);
     if (is_new || is_restarted)
     {
         add_to_indexes(directory, index);
         return is_new ? registration_effect::added : registration_effect::restarted;
     }
-    return registration.is_draining && !was_draining ? registration_effect::drained
-                                                     : registration_effect::updated;
+    return entry.registration.is_draining && !was_draining ? registration_effect::drained
+                                                           : registration_effect::updated;
 }
 
 bool mark_unlisted(backend_directory& directory, const std::string& name, millis now)
--- a/src/tagged/backend_directory.hpp
+++ b/src/tagged/backend_directory.hpp
@@ -6,7 +6,8 @@
 // caller made up, matches nothing. If two names of a service have the same tag, the
 // lexicographically smaller one owns it and the other gets no flows.
 //
-// A draining backend server gets no new flows as soon as its entry says so. An entry that
+// A draining backend server gets no new flows as soon as its entry says so, and none any more in
+// this incarnation: the store may come back from a copy with an older entry. An entry that
 // disappears may have expired while the store was unavailable: its backend server remains a last
 // resort for `expiry_grace_period` and is not used for new flows after that. Its address stays
 // known for the flows that it still holds.
--- a/src/tagged/router_lists.cpp
+++ b/src/tagged/router_lists.cpp
@@ -120,12 +120,14 @@
         return;
     }
     const std::string_view name = registration_effect_names[static_cast<std::size_t>(effect)];
+    const backend_index index = state.backends.by_name.at(registration.name);
+    const bool is_draining = state.backends.entries[index].registration.is_draining;
     state.state_changes.push_back(
         {state_change_kind::backend_listed,
-         state.backends.by_name.at(registration.name),
+         index,
          {},
          "effect=" + std::string(name) + " service=" + registration.service +
-             " zone=" + registration.zone + " draining=" + (registration.is_draining ? "1" : "0") +
+             " zone=" + registration.zone + " draining=" + (is_draining ? "1" : "0") +
              " warm_up_ms=" + std::to_string(registration.warm_up_remaining.count)});
 }
 
--- a/src/testing/tag_router_test.cpp
+++ b/src/testing/tag_router_test.cpp
@@ -237,6 +237,38 @@
     CHECK(fixture.route(fixture.opening(orders_address)).backend != placed.backend);
 }
 
+// The store can come back from a copy that is older than the report of the drain.
+TEST_CASE("an older entry of a draining backend server brings it no opening packets")
+{
+    router_fixture fixture;
+    const backend_index index = fixture.router.backends.by_name.at("i-01");
+    const backend_registration ready = fixture.backend(index).registration;
+    backend_registration leaving = ready;
+    leaving.is_draining = true;
+    const auto count_openings = [&fixture, index]()
+    {
+        int count = 0;
+        for (int i = 0; i < 50; ++i)
+        {
+            count += fixture.route(fixture.opening(orders_address)).backend == index ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(count_openings() > 0);
+    apply_backend_registration(fixture.router, leaving, fixture.now);
+    apply_backend_registration(fixture.router, ready, fixture.now);
+    CHECK(count_openings() == 0);
+    handle_backend_unlisted(fixture.router, ready.name, fixture.now);
+    fixture.advance(10'000);
+    apply_backend_registration(fixture.router, ready, fixture.now);
+    CHECK(count_openings() == 0);
+    // Under its name a later incarnation serves again.
+    backend_registration restarted = ready;
+    restarted.start_time_ms = ready.start_time_ms + 5'000;
+    apply_backend_registration(fixture.router, restarted, fixture.now);
+    CHECK(count_openings() > 0);
+}
+
 TEST_CASE("after a mass expiry the backend servers remain usable for two seconds")
 {
     router_fixture fixture;
