A deletion is passed on by a daemon that never held the item

What callers would see: a backend server that has left stays in use at a daemon, for as long as nothing else is written to its entry. Cause: an item that is written and deleted between two responses reaches a daemon as a deletion only. It had nothing to delete and kept no tombstone, so a third daemon, which holds the item and switches to it, never heard of the deletion. Change: a deletion beyond the replica's position leaves a tombstone whether or not the item is there; one that is received twice leaves one. The new test failed before. Conclusion: tombstones state what the store deleted, not what this daemon held.

--- a/src/spread/item_replica.cpp
+++ b/src/spread/item_replica.cpp
@@ -28,9 +28,16 @@
 void add_tombstone(item_replica& replica, const std::string& key, const store_position& position)
 {
     const auto place =
-        std::upper_bound(replica.tombstones.begin(), replica.tombstones.end(), position,
-                         [](const store_position& wanted, const tombstone& deleted)
-                         { return wanted < deleted.position; });
+        std::lower_bound(replica.tombstones.begin(), replica.tombstones.end(), position,
+                         [](const tombstone& deleted, const store_position& wanted)
+                         { return deleted.position < wanted; });
+    for (auto same = place; same != replica.tombstones.end() && same->position == position; ++same)
+    {
+        if (same->key == key)
+        {
+            return;
+        }
+    }
     replica.tombstones.insert(place, tombstone{key, position});
     while (replica.tombstones.size() > max_tombstones)
     {
@@ -163,6 +170,11 @@
     const auto found = replica.items.find(change.key);
     if (found == replica.items.end() && change.is_deleted)
     {
+        // A requester may hold an item that this replica never held.
+        if (change.position > replica.position)
+        {
+            add_tombstone(replica, change.key, change.position);
+        }
         return change_effect::already_known;
     }
     if (found == replica.items.end() && replica.has_list && change.position <= replica.position)
--- a/src/testing/restored_store_test.cpp
+++ b/src/testing/restored_store_test.cpp
@@ -50,6 +50,8 @@
     replica_fleet daemons(3 + static_cast<int>(random() % 10), 1 + static_cast<int>(seed % 3));
     daemons.loss_rate = seed % 4 == 0 ? 0.1 : 0;
     daemons.store.page_items = seed % 2 == 0 ? 3 : 500;
+    // Longer values take a complete list several datagrams.
+    const std::string padding(seed % 5 < 2 ? 700 : 0, ' ');
     daemons.run(3'000);
     simulated_store copy = daemons.store;
     for (int step = 0; step < 30; ++step)
@@ -78,7 +80,7 @@
             daemons.store.remove(key);
             break;
         default:
-            daemons.store.write(key, std::to_string(random() % 1'000));
+            daemons.store.write(key, std::to_string(random() % 1'000) + padding);
         }
         daemons.run(static_cast<std::int64_t>(random() % 900));
     }
--- a/src/testing/spread_test.cpp
+++ b/src/testing/spread_test.cpp
@@ -125,6 +125,33 @@
     CHECK(apply_change(replica, put("a", "2", 12)) == change_effect::applied);
 }
 
+// An item that is written and deleted between two responses reaches the second daemon as a deletion
+// only, and a third one may hold it.
+TEST_CASE("a deletion is passed on by a daemon that never held the item")
+{
+    item_replica source;
+    item_replica relay;
+    item_replica holder;
+    for (item_replica* replica : {&source, &relay, &holder})
+    {
+        apply_change(*replica, put("b", "1", 4));
+        confirm_replica(*replica, {0, 4}, millis{0});
+    }
+    for (item_replica* replica : {&source, &holder})
+    {
+        apply_change(*replica, put("a", "1", 5));
+        confirm_replica(*replica, {0, 5}, millis{0});
+    }
+    apply_change(source, store_item{"a", "", {0, 6}, true});
+    confirm_replica(source, {0, 6}, millis{0});
+    change_requester requester;
+    start_requests(requester, relay);
+    request_until_complete(source, relay, requester, millis{0});
+    start_requests(requester, holder);
+    request_until_complete(relay, holder, requester, millis{0});
+    CHECK(values_of(holder) == values_of(source));
+}
+
 TEST_CASE("change responses fit a datagram, and a duplicate response is not accepted")
 {
     item_replica replica;
