A version that is written again with other contents is applied

What callers would see: a confirmed change that is in force nowhere until the next one. Cause: routes are ordered by the operator's version. A write whose confirmation was lost can reach the daemons and then be lost with a restored store; its version may be written again with other contents, which was refused as already known. The same class as the replica's: an order by a counter of which a value was given out twice. Change: of one version the contents that were written last are in force; the order of writes is the replica's. A lower version is refused as before, and says so in routes_outdated.

--- a/src/tagged/route_table.cpp
+++ b/src/tagged/route_table.cpp
@@ -18,7 +18,9 @@
 
 bool apply_routes(route_table& table, const route_list& list)
 {
-    if (list.version <= table.version)
+    const bool is_same_version = list.version == table.version;
+    if (list.version < table.version ||
+        (is_same_version && list.content_hash == table.content_hash))
     {
         return false;
     }
@@ -54,6 +56,7 @@
     }
     table.by_address = std::move(newer);
     table.version = list.version;
+    table.content_hash = list.content_hash;
     table.idle_timeout = list.idle_timeout;
     table.health_paths = list.health_paths;
     return true;
--- a/src/tagged/route_table.hpp
+++ b/src/tagged/route_table.hpp
@@ -1,5 +1,6 @@
 // The operators' routes: which services an address and port stands for, and what kind of requests
-// arrive there. A new version replaces the whole table; an older version is never applied.
+// arrive there. A new version replaces the whole table; an older version is never applied. A
+// version that was lost before its write was confirmed may be written again with other contents.
 #ifndef BRIARBARROW_TAGGED_ROUTE_TABLE_HPP
 #define BRIARBARROW_TAGGED_ROUTE_TABLE_HPP
 
@@ -58,6 +59,8 @@
 struct route_list
 {
     std::uint64_t version = 0;
+    // Hash of the configuration as it was written.
+    std::uint64_t content_hash = 0;
     // Flows that have been idle for longer may be removed.
     millis idle_timeout{15'000};
     std::vector<route> routes;
@@ -83,6 +86,7 @@
 struct route_table
 {
     std::uint64_t version = 0;
+    std::uint64_t content_hash = 0;
     millis idle_timeout{15'000};
     std::unordered_map<endpoint, known_route, endpoint_hash> by_address;
     std::unordered_map<service_id, std::string> health_paths;
@@ -94,7 +98,7 @@
 // instead of reset.
 constexpr std::size_t max_removed_routes = 10'000;
 
-// Applies a newer list. False when the table already holds this version or a newer one.
+// Applies a list. False when the table already holds it or a newer version.
 bool apply_routes(route_table& table, const route_list& list);
 
 // The route of a destination, or null.
--- a/src/testing/tag_router_test.cpp
+++ b/src/testing/tag_router_test.cpp
@@ -330,6 +330,23 @@
     CHECK(fixture.route(fixture.opening(sheets_address)).verdict == packet_verdict::reset);
 }
 
+// An operator whose write was not confirmed before the store went back may use its version again.
+TEST_CASE("a version that is written again with other contents replaces the earlier contents")
+{
+    router_fixture fixture;
+    route_list first = make_routes(9);
+    first.content_hash = 1;
+    apply_route_list(fixture.router, first);
+    route_list again = make_routes(9);
+    again.content_hash = 2;
+    again.routes.pop_back();
+    apply_route_list(fixture.router, again);
+    CHECK(fixture.route(fixture.opening(sheets_address)).verdict == packet_verdict::reset);
+    fixture.router.state_changes.clear();
+    apply_route_list(fixture.router, again);
+    CHECK(fixture.router.state_changes.empty());
+}
+
 TEST_CASE(
     "an open flow survives a change of its route's service, and is reset when the route is removed")
 {
