A complete list from another daemon is applied together, at its end

What callers would see: a backend server that the store lost in a restore stays in use at some daemons. Cause: a daemon that was receiving a new era's list in several datagrams passed its first items on, while it still stated the era of before as the oldest that it has deletions for. Its requesters moved into the new era without its complete list, and never learned what that list lacks. Change: the changes of a complete list are kept until its last datagram, as those of a read in pages are. Conclusion: a replica enters an era only with that era's complete list, so nothing older is left in it.

--- a/src/spread/item_replica.cpp
+++ b/src/spread/item_replica.cpp
@@ -163,6 +163,21 @@
     return change;
 }
 
+void finish_list(change_requester& requester, response_updates& updates)
+{
+    updates.listed.emplace();
+    for (const store_item& change : requester.list)
+    {
+        if (!change.is_deleted)
+        {
+            updates.listed->insert(change.key);
+        }
+    }
+    updates.changes = std::move(requester.list);
+    requester.list.clear();
+    requester.is_listing = false;
+}
+
 } // namespace
 
 change_effect apply_change(item_replica& replica, const store_item& change)
@@ -331,11 +346,8 @@
         {
             break;
         }
-        if (requester.is_listing && !change->is_deleted)
-        {
-            requester.listed.insert(change->key);
-        }
-        updates.changes.push_back(std::move(*change));
+        std::vector<store_item>& received = requester.is_listing ? requester.list : updates.changes;
+        received.push_back(std::move(*change));
     }
     requester.cursor.position = std::max(requester.cursor.position, response.position);
     updates.needs_request = response.has_more;
@@ -344,9 +356,7 @@
     updates.list_age = response.list_age;
     if (updates.is_complete && requester.is_listing)
     {
-        updates.listed = std::move(requester.listed);
-        requester.listed.clear();
-        requester.is_listing = false;
+        finish_list(requester, updates);
     }
     return updates;
 }
--- a/src/spread/item_replica.hpp
+++ b/src/spread/item_replica.hpp
@@ -153,13 +153,13 @@
     std::string partial_value;
     // Number of the latest request; raised once its response is accepted.
     std::uint64_t number = 0;
-    // A complete list is being received: its keys so far, and the responder's `oldest_position`.
+    // A complete list is being received: its changes so far, and the responder's `oldest_position`.
     bool is_listing = true;
-    std::set<std::string> listed;
+    std::vector<store_item> list;
     std::optional<store_position> oldest_position;
 };
 
-// Updates from one response.
+// Updates from one response. A complete list is passed on together, at its end.
 struct response_updates
 {
     std::vector<store_item> changes;
--- a/src/testing/restored_store_test.cpp
+++ b/src/testing/restored_store_test.cpp
@@ -175,3 +175,9 @@
         CHECK(replicas_converge(seed));
     }
 }
+
+// A complete list in several datagrams, whose items were passed on before its end.
+TEST_CASE("restored store: a seed in which daemons crossed into an era without its complete list")
+{
+    CHECK(replicas_converge(23'316));
+}
--- a/src/testing/spread_test.cpp
+++ b/src/testing/spread_test.cpp
@@ -152,6 +152,31 @@
     CHECK(values_of(holder) == values_of(source));
 }
 
+// A daemon that passed on the first items of a new era's list, before it knew what that list lacks,
+// would let its requesters cross into the new era and keep what is gone.
+TEST_CASE("a complete list from another daemon is applied together, at its end")
+{
+    item_replica responder;
+    for (std::uint64_t i = 1; i <= 10; ++i)
+    {
+        apply_change(responder, put("servers/" + std::to_string(i), std::string(400, 'x'), i));
+    }
+    confirm_replica(responder, {0, 10}, millis{0});
+    change_requester requester;
+    std::optional<response_updates> updates;
+    int responses = 0;
+    do
+    {
+        ++responses;
+        updates = apply_change_response(
+            requester, make_change_response(responder, next_change_request(requester), millis{0}));
+        REQUIRE(updates);
+        CHECK(updates->changes.size() == (updates->is_complete ? 10 : 0));
+    } while (!updates->is_complete);
+    CHECK(responses > 3);
+    CHECK(updates->listed->size() == 10);
+}
+
 TEST_CASE("change responses fit a datagram, and a duplicate response is not accepted")
 {
     item_replica replica;
