Soak: the store comes back from an older copy

Cause: the soak had no store that goes back; none of its faults reaches the code that the incident was in. Change: the soak's store states an era, can be copied and restored; the operator and the living backend servers write again, entries of those that are gone expire. One of five store faults is a restore.

--- a/src/testing/soak/briarbarrow_soak.cpp
+++ b/src/testing/soak/briarbarrow_soak.cpp
@@ -79,6 +79,7 @@
     void inject_fault();
     void inject_process_fault(std::size_t index);
     void inject_store_fault(std::size_t index);
+    void restore_store_after(std::int64_t outage_ms, std::int64_t copy_age_ms);
     void inject_backend_fault();
     void change_configuration();
     void schedule(std::int64_t delay_ms, std::function<void()> action);
@@ -253,7 +254,7 @@
 void soak::inject_store_fault(std::size_t index)
 {
     const std::int64_t duration = 500 + static_cast<std::int64_t>(this->random_below(3'000));
-    switch (this->random_below(4))
+    switch (this->random_below(5))
     {
     case 0:
         this->print_event("store answers 503");
@@ -272,6 +273,10 @@
         this->environment.store().compact_history();
         break;
     case 2:
+        this->restore_store_after(duration,
+                                  500 + static_cast<std::int64_t>(this->random_below(4'000)));
+        break;
+    case 3:
         this->print_event("store connections reset for daemon " + std::to_string(index));
         this->environment.record_fault(index);
         this->processes[index].proxy->reset_all();
@@ -296,6 +301,29 @@
     }
 }
 
+// Copies the store now, and after `copy_age_ms` takes it away for a moment and brings it back from
+// the copy.
+void soak::restore_store_after(std::int64_t outage_ms, std::int64_t copy_age_ms)
+{
+    this->print_event("store copied, to be restored after " + std::to_string(copy_age_ms) + " ms");
+    this->environment.store().copy();
+    this->schedule(copy_age_ms,
+                   [this]()
+                   {
+                       this->print_event("store away, to be restored from its copy");
+                       this->environment.record_fault_on_all();
+                       this->environment.store().set_busy(true);
+                   });
+    this->schedule(copy_age_ms + outage_ms,
+                   [this]()
+                   {
+                       this->print_event("store restored from its copy");
+                       this->environment.record_fault_on_all();
+                       this->environment.store().set_busy(false);
+                       this->environment.restore_store();
+                   });
+}
+
 void soak::inject_backend_fault()
 {
     auto& servers = this->environment.backends();
--- a/src/testing/soak/soak_environment.cpp
+++ b/src/testing/soak/soak_environment.cpp
@@ -31,6 +31,8 @@
 constexpr int max_attempts = 3;
 constexpr millis execution_duration{12};
 constexpr millis readiness_probe_interval{500};
+// Entries of servers that are gone expire after three heartbeat intervals.
+constexpr millis entry_expiry{3'600};
 constexpr std::uint32_t caller_sequence = 5'000;
 constexpr std::uint32_t service_address = 0xc6120001; // 198.18.0.1
 
@@ -209,7 +211,33 @@
                      {"Routes", routes},
                      {"Services", json::array()},
                      {"Limits", {{"IdleTimeoutMs", 15'000}}}};
-    this->store_server->put("op/config", value.dump());
+    this->configuration_text = value.dump();
+    this->store_server->put("op/config", this->configuration_text);
+}
+
+void soak_environment::restore_store()
+{
+    this->store_server->restore_copy();
+    this->store_server->put("op/config", this->configuration_text);
+    for (const auto& backend : this->servers)
+    {
+        if (backend->descriptor >= 0)
+        {
+            this->register_backend(*backend);
+        }
+    }
+    this->scheduled_actions.emplace_back(this->now + entry_expiry,
+                                         [this]()
+                                         {
+                                             for (const auto& backend : this->servers)
+                                             {
+                                                 if (backend->descriptor < 0)
+                                                 {
+                                                     this->store_server->remove("servers/" +
+                                                                                backend->name);
+                                                 }
+                                             }
+                                         });
 }
 
 void soak_environment::add_route()
--- a/src/testing/soak/soak_environment.hpp
+++ b/src/testing/soak/soak_environment.hpp
@@ -136,6 +136,10 @@
     void add_route();
     void remove_route();
 
+    // Lets the store come back from its copy. The operator and the live backend servers write again
+    // what they wrote; entries of servers that are gone expire.
+    void restore_store();
+
     // Sends and receives what is due and starts `new_requests` new requests.
     void tick(millis now, int new_requests);
     // Restart the stable window of one host or of every host.
@@ -184,6 +188,7 @@
     std::vector<int> callers;
     std::vector<soak_route> routes;
     std::uint64_t version = 0;
+    std::string configuration_text;
     soak_route added_route;
     millis route_added_at;
     soak_route removed_route;
--- a/src/testing/soak/soak_store.cpp
+++ b/src/testing/soak/soak_store.cpp
@@ -67,6 +67,19 @@
     this->compacted_revision = this->data.revision;
 }
 
+void soak_store::copy()
+{
+    this->copied_data = this->data;
+    this->copied_compacted_revision = this->compacted_revision;
+}
+
+void soak_store::restore_copy()
+{
+    this->data = this->copied_data;
+    this->compacted_revision = this->copied_compacted_revision;
+    ++this->era;
+}
+
 void soak_store::set_busy(bool busy)
 {
     this->is_busy = busy;
@@ -85,10 +98,15 @@
         page.status = 503;
         return page;
     }
-    if (query.path.find("kv-watch") != std::string_view::npos)
-    {
-        return this->handle_watch(query);
-    }
+    page = query.path.find("kv-watch") != std::string_view::npos ? this->handle_watch(query)
+                                                                 : this->handle_read();
+    page.headers = "Store-Era: " + std::to_string(this->era) + "\r\n";
+    return page;
+}
+
+http_page soak_store::handle_read() const
+{
+    http_page page;
     json items = json::array();
     for (const auto& [key, stored] : this->data.values)
     {
@@ -104,7 +122,7 @@
     const std::int64_t after = parse_number_after(query.path, "after=");
     const millis wait{parse_number_after(query.path, "WaitMs=")};
     http_page page;
-    if (after < this->compacted_revision)
+    if (after < this->compacted_revision || after > this->data.revision)
     {
         page.status = 410;
         return page;
--- a/src/testing/soak/soak_store.hpp
+++ b/src/testing/soak/soak_store.hpp
@@ -24,6 +24,10 @@
     // Compacts the history: a watch that starts from an older revision gets status 410 and its
     // client has to list all items again.
     void compact_history();
+    // Copies the store, and lets it come back from that copy: what was written since is gone, its
+    // revisions are given out again, and the era that every response states rises.
+    void copy();
+    void restore_copy();
     // While busy, every request is answered with status 503.
     void set_busy(bool busy);
     // Completes pending watches that have events or whose wait is over. Call it every few
@@ -32,10 +36,14 @@
 
 private:
     http_page handle_request(const http_query& query);
+    http_page handle_read() const;
     http_page handle_watch(const http_query& query);
 
     kv_store data;
     std::int64_t compacted_revision = 0;
+    kv_store copied_data;
+    std::int64_t copied_compacted_revision = 0;
+    std::uint64_t era = 1;
     bool is_busy = false;
     std::unique_ptr<http_responder> server;
 };
