After a pause no flow is refused by lists from before it

Cause: a daemon stood still for 1,402 ms, in which the route was added and another daemon opened the flow. Awake again, it answered the opening packet that had waited in its socket from lists that were 1,846 ms old, which count as fresh up to 2,000 ms, before its first tick noticed the pause. Class: a paused process acts on a permission that ran out. Change: an unknown route is refused only by lists that were confirmed since the last pause; a pause counts before the tick notices it. Otherwise the packet is dropped, and the caller's next copy is answered. The soak's store writes again only what was lost, and ends each run with two configuration changes.

--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -415,6 +415,16 @@
     return decision;
 }
 
+// True when the lists are proof that an address has no route: they are fresh, and were confirmed
+// since the last pause. The pause is still to be noticed when packets that waited come before the
+// first tick.
+bool can_refuse_unknown_routes(const router_state& state, millis now)
+{
+    const bool was_paused =
+        now > state.last_tick + pause_threshold || state.lists_confirmed_at < state.resumed_at;
+    return has_fresh_lists(state, now) && !was_paused;
+}
+
 packet_decision decide_packet(router_state& state, const tagged_packet& packet, millis now)
 {
     if (!is_router_ready(state))
@@ -431,7 +441,7 @@
     {
         // Fresh lists may still lack a route that was added a moment ago, and an open flow has a
         // route somewhere, so it is reset only if this daemon saw the route's removal.
-        const bool is_removed = packet.opens ? has_fresh_lists(state, now)
+        const bool is_removed = packet.opens ? can_refuse_unknown_routes(state, now)
                                              : was_route_removed(state.routes, destination);
         return is_removed ? decide_reset(packet, verdict_reason::no_route)
                           : decide(packet_verdict::drop, verdict_reason::route_not_fresh);
--- a/src/testing/soak/briarbarrow_soak.cpp
+++ b/src/testing/soak/briarbarrow_soak.cpp
@@ -464,6 +464,9 @@
         {
             answers_required = true;
             this->environment.require_answers();
+            // Whatever the faults left behind, these changes have to be in force in time.
+            this->environment.remove_route();
+            this->environment.add_route();
         }
         const bool sends_requests = this->now > faults_begin && this->now < end - millis{2'000};
         this->environment.tick(this->now, sends_requests ? 1 : 0);
--- a/src/testing/soak/soak_environment.cpp
+++ b/src/testing/soak/soak_environment.cpp
@@ -160,7 +160,7 @@
         {"MaxConcurrent", 4},         {"State", backend.is_draining ? "draining" : "ready"},
         {"WarmupLeftMs", 0},          {"CallSeq", 1},
         {"born", 1'700'000'000'000}};
-    this->store_server->put("servers/" + backend.name, entry.dump());
+    this->store_server->put_if_lost("servers/" + backend.name, entry.dump());
 }
 
 void soak_environment::end_backend(std::size_t index)
@@ -218,7 +218,7 @@
 void soak_environment::restore_store()
 {
     this->store_server->restore_copy();
-    this->store_server->put("op/config", this->configuration_text);
+    this->store_server->put_if_lost("op/config", this->configuration_text);
     for (const auto& backend : this->servers)
     {
         if (backend->descriptor >= 0)
--- a/src/testing/soak/soak_store.cpp
+++ b/src/testing/soak/soak_store.cpp
@@ -56,6 +56,15 @@
     put_value(this->data, key, value, 0);
 }
 
+void soak_store::put_if_lost(const std::string& key, const std::string& value)
+{
+    const auto found = this->data.values.find(key);
+    if (found == this->data.values.end() || found->second.value != value)
+    {
+        this->put(key, value);
+    }
+}
+
 void soak_store::remove(const std::string& key)
 {
     delete_value(this->data, key);
--- a/src/testing/soak/soak_store.hpp
+++ b/src/testing/soak/soak_store.hpp
@@ -21,6 +21,8 @@
     // Write or remove an item; pending watches see the change at the next tick().
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
+    // Writes an item unless the store holds this value.
+    void put_if_lost(const std::string& key, const std::string& value);
     // Compacts the history: a watch that starts from an older revision gets status 410 and its
     // client has to list all items again.
     void compact_history();
--- a/src/testing/tag_router_test.cpp
+++ b/src/testing/tag_router_test.cpp
@@ -319,6 +319,19 @@
     CHECK_FALSE(is_router_ready(empty));
 }
 
+// A route may have been added during the pause, and another daemon may have opened the flow whose
+// opening packet waited here.
+TEST_CASE("after a pause an unknown route is not refused by lists from before the pause")
+{
+    router_fixture fixture;
+    fixture.now = fixture.now + millis{1'400};
+    CHECK(fixture.route(fixture.opening(unknown_address)).verdict == packet_verdict::drop);
+    fixture.advance(router_tick_interval.count, false);
+    CHECK(fixture.route(fixture.opening(unknown_address)).verdict == packet_verdict::drop);
+    confirm_lists(fixture.router, fixture.now);
+    CHECK(fixture.route(fixture.opening(unknown_address)).verdict == packet_verdict::reset);
+}
+
 TEST_CASE("an older version of the routes is never applied")
 {
     router_fixture fixture;
