--- a/src/follow/store_follower.hpp
+++ b/src/follow/store_follower.hpp
@@ -79,7 +79,8 @@
     std::vector<store_item> items;
     // Revision of the store when it responded.
     std::uint64_t store_revision = 0;
-    // Number of times that the store has come back from an older copy; unknown when it did not say.
+    // One higher each time that the store comes back from an older copy; unknown when it did not
+    // say.
     std::optional<std::uint64_t> store_era;
     // A read has further pages.
     bool has_more = false;
