A read goes on after a page of which no item is kept

What callers would see: no backend server and no route, at every daemon, as soon as a page of the store holds only entries that daemons don't use, before those that they do. Cause: the adapter leaves such entries out before the follower sees the page, and the follower took an empty page for the last one. Change: a response states the last key of its page, also of items that were left out. The comparison of header names stands once. Figures: the new test failed before. Conclusion: the end of a read is the store's word alone.

--- a/src/follow/store_follower.cpp
+++ b/src/follow/store_follower.cpp
@@ -65,9 +65,9 @@
         follower.read_position = {follower.era, response.store_revision};
     }
     append_items(follower, response, follower.read_items);
-    if (response.has_more && !response.items.empty())
+    if (response.has_more && !response.last_key.empty())
     {
-        follower.read_after_key = response.items.back().key;
+        follower.read_after_key = response.last_key;
         return;
     }
     finish_read(follower, updates);
--- a/src/follow/store_follower.hpp
+++ b/src/follow/store_follower.hpp
@@ -82,8 +82,9 @@
     // One higher each time that the store comes back from an older copy; unknown when it did not
     // say.
     std::optional<std::uint64_t> store_era;
-    // A read has further pages.
+    // A read has further pages, which start after this key.
     bool has_more = false;
+    std::string last_key;
 };
 
 enum class store_call_kind : std::uint8_t
--- a/src/net/http_headers.cpp
+++ b/src/net/http_headers.cpp
@@ -6,21 +6,12 @@
 namespace briarbarrow
 {
 
-namespace
+bool equals_ignoring_case(char left, char right)
 {
-
-bool equals_ignoring_case(std::string_view left, std::string_view right)
-{
-    const auto is_same = [](char a, char b)
-    {
-        return std::tolower(static_cast<unsigned char>(a)) ==
-               std::tolower(static_cast<unsigned char>(b));
-    };
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), is_same);
+    return std::tolower(static_cast<unsigned char>(left)) ==
+           std::tolower(static_cast<unsigned char>(right));
 }
 
-} // namespace
-
 bool add_header_name(http_headers& headers, std::string_view piece)
 {
     if (headers.entries.empty() || headers.is_reading_value)
@@ -47,9 +38,13 @@
 
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name)
 {
-    const auto found = std::find_if(headers.entries.begin(), headers.entries.end(),
-                                    [name](const http_header& header)
-                                    { return equals_ignoring_case(header.name, name); });
+    const auto found =
+        std::find_if(headers.entries.begin(), headers.entries.end(),
+                     [name](const http_header& header)
+                     {
+                         return std::equal(header.name.begin(), header.name.end(), name.begin(),
+                                           name.end(), equals_ignoring_case);
+                     });
     return found == headers.entries.end() ? std::nullopt : std::optional(found->value);
 }
 
--- a/src/net/http_headers.hpp
+++ b/src/net/http_headers.hpp
@@ -33,6 +33,9 @@
 bool add_header_name(http_headers& headers, std::string_view piece);
 bool add_header_value(http_headers& headers, std::string_view piece);
 
+// True when two characters of a header's name are the same but for their case.
+bool equals_ignoring_case(char left, char right);
+
 // Returns the value of a header, whose name is compared without regard to case.
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name);
 
--- a/src/testing/platform_codec_test.cpp
+++ b/src/testing/platform_codec_test.cpp
@@ -239,6 +239,7 @@
     REQUIRE(watch.items.size() == 2);
     CHECK(watch.items[0].value == "node-1");
     CHECK(watch.items[1].is_deleted);
+    CHECK(watch.last_key == "my/old");
     CHECK(decode_store_response(watch_call(), reply_of(0, "")).outcome ==
           store_outcome::unreachable);
     CHECK(decode_store_response(watch_call(), reply_of(410, "")).outcome ==
--- a/src/testing/replica_fleet.hpp
+++ b/src/testing/replica_fleet.hpp
@@ -122,6 +122,7 @@
                 response.items.push_back(item->second);
             }
             response.has_more = item != this->items.end();
+            response.last_key = response.items.empty() ? "" : response.items.back().key;
             return response;
         }
         if (!this->has_history(call))
--- a/src/testing/store_follower_test.cpp
+++ b/src/testing/store_follower_test.cpp
@@ -23,6 +23,7 @@
     store_response response;
     response.outcome = store_outcome::answered;
     response.store_revision = revision;
+    response.last_key = items.empty() ? "" : items.back().key;
     response.items = std::move(items);
     response.has_more = more;
     return response;
@@ -118,6 +119,19 @@
     CHECK(updates.changes[1].key == "b");
 }
 
+// The adapter keeps only the items that its daemon uses. If it left out a whole page, the read
+// ended there, and everything after it was taken to be deleted.
+TEST_CASE("a read goes on after a page of which no item is kept")
+{
+    follower_driver driver;
+    driver.call();
+    store_response unused = response_with(9, {}, true);
+    unused.last_key = "my/500";
+    CHECK_FALSE(driver.handle(unused).is_complete);
+    CHECK(driver.call().after_key == "my/500");
+    CHECK(driver.handle(response_with(9, {item("op/config", 4)})).is_complete);
+}
+
 TEST_CASE("a compacted history leads to a new read, which finds deleted items")
 {
     follower_driver driver;
