Opening packets that waited in a paused daemon are not placed after their callers went on

Cause, by the logs of both daemons for one flow: the first copies of the opening packet waited in the frozen daemon, the third opened the flow through the other daemon. When the machine woke, the old copies were placed too (reason=placed, 1.1 s after the flow had been answered), the second backend server answered, and the idle caller repeated its tag from then on. Only pauses of 2.5 s or more dropped what had waited, by the length of the pause and not by the age of a packet.

Change: datagrams come with their time of arrival (SO_TIMESTAMPNS; the earliest possible time where there is no stamp or the wall clock was set). An opening packet that waited until its caller sends the next copy, or gives up, is dropped before anything is decided about it; one that couldn't be answered before the next copy is not placed. The reason is called overtaken now, formerly stale_backlog, and the threshold of 2.5 s is gone.

A paused backend server that answers late is another way to the same resets and is open.

--- a/src/adapters/host_daemon.cpp
+++ b/src/adapters/host_daemon.cpp
@@ -75,8 +75,10 @@
 {
     auto port = packet_port::open(
         this->settings.self.packets,
-        [this](const endpoint& from, std::span<const std::uint8_t> bytes) {
-            step(this->core, datagram_event{from, bytes}, monotonic_now(), this->pending);
+        [this](const received_datagram& datagram)
+        {
+            step(this->core, datagram_event{datagram.from, datagram.bytes}, monotonic_now(),
+                 this->pending);
         },
         [this] { this->flush(); });
     if (!port)
--- a/src/net/packet_port.cpp
+++ b/src/net/packet_port.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <ctime>
+#include <optional>
 
 #include <glib-unix.h>
 #include <unistd.h>
@@ -19,6 +21,31 @@
 // Received batches after which control returns to the main loop, so that its other sources run.
 constexpr int batches_per_turn = 8;
 
+// Control data of a received datagram: the kernel's time stamp.
+struct alignas(cmsghdr) control_buffer
+{
+    std::array<std::uint8_t, CMSG_SPACE(sizeof(timespec))> bytes;
+};
+
+// The kernel's time stamp of a received datagram on the wall clock, if it has one.
+std::optional<millis> find_time_stamp(const msghdr& header)
+{
+    constexpr std::int64_t milliseconds_per_second = 1'000;
+    constexpr std::int64_t nanoseconds_per_millisecond = 1'000'000;
+    const cmsghdr* control = CMSG_FIRSTHDR(&header);
+    const bool is_stamp = control != nullptr && control->cmsg_level == SOL_SOCKET &&
+                          control->cmsg_type == SCM_TIMESTAMPNS &&
+                          control->cmsg_len >= CMSG_LEN(sizeof(timespec));
+    if (!is_stamp)
+    {
+        return std::nullopt;
+    }
+    timespec stamp{};
+    std::memcpy(&stamp, CMSG_DATA(control), sizeof(stamp));
+    return millis{static_cast<std::int64_t>(stamp.tv_sec) * milliseconds_per_second +
+                  static_cast<std::int64_t>(stamp.tv_nsec) / nanoseconds_per_millisecond};
+}
+
 } // namespace
 
 // Buffers for one received and one sent batch, allocated once.
@@ -27,14 +54,16 @@
     explicit buffers(const packet_port_limits& limits)
         : bytes(limits.batch_datagrams * limits.datagram_bytes),
           receive_buffers(limits.batch_datagrams), receive_from(limits.batch_datagrams),
-          receive_headers(limits.batch_datagrams), send_buffers(limits.batch_datagrams),
-          send_to(limits.batch_datagrams), send_headers(limits.batch_datagrams)
+          receive_control(limits.batch_datagrams), receive_headers(limits.batch_datagrams),
+          send_buffers(limits.batch_datagrams), send_to(limits.batch_datagrams),
+          send_headers(limits.batch_datagrams)
     {
     }
 
     std::vector<std::uint8_t> bytes;
     std::vector<iovec> receive_buffers;
     std::vector<sockaddr_storage> receive_from;
+    std::vector<control_buffer> receive_control;
     std::vector<mmsghdr> receive_headers;
     std::vector<std::array<iovec, 2>> send_buffers;
     std::vector<sockaddr_storage> send_to;
@@ -47,6 +76,10 @@
       batch_finished(std::move(batch_finished)), limits(limits),
       batch_buffers(std::make_unique<buffers>(limits))
 {
+    // Without time stamps arrival times are estimated.
+    const int is_enabled = 1;
+    setsockopt(this->descriptor, SOL_SOCKET, SO_TIMESTAMPNS, &is_enabled, sizeof(is_enabled));
+    this->observe_idle();
     this->source = g_unix_fd_add(this->descriptor, G_IO_IN, on_readable, this);
 }
 
@@ -70,6 +103,11 @@
         new packet_port(descriptor, std::move(receiver), std::move(batch_finished), limits));
 }
 
+void packet_port::observe_idle()
+{
+    this->arrivals.drained = read_clocks();
+}
+
 const packet_port_counts& packet_port::counts() const
 {
     return this->port_counts;
@@ -103,24 +141,32 @@
         header.msg_iovlen = 1;
         header.msg_name = &batch_buffers.receive_from[i];
         header.msg_namelen = sizeof(sockaddr_storage);
+        header.msg_control = batch_buffers.receive_control[i].bytes.data();
+        header.msg_controllen = batch_buffers.receive_control[i].bytes.size();
     }
+    // Read first: what arrives later than this is either in the batch or was not there before.
+    const clock_reading now = read_clocks();
     const int count = recvmmsg(this->descriptor, batch_buffers.receive_headers.data(),
                                static_cast<unsigned>(batch_datagrams), MSG_DONTWAIT, nullptr);
     if (count <= 0)
     {
+        this->arrivals.drained = now;
         return false;
     }
     ++this->port_counts.batches;
     this->port_counts.received += static_cast<std::uint64_t>(count);
     for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i)
     {
-        const std::size_t length = batch_buffers.receive_headers[i].msg_len;
-        this->receiver(
-            from_socket_address(batch_buffers.receive_from[i]),
-            std::span<const std::uint8_t>(&batch_buffers.bytes[i * datagram_bytes], length));
+        const mmsghdr& header = batch_buffers.receive_headers[i];
+        this->receiver({from_socket_address(batch_buffers.receive_from[i]),
+                        std::span<const std::uint8_t>(&batch_buffers.bytes[i * datagram_bytes],
+                                                      header.msg_len),
+                        arrival_time(this->arrivals, find_time_stamp(header.msg_hdr), now)});
     }
     this->batch_finished();
-    return static_cast<std::size_t>(count) == batch_datagrams;
+    const bool is_full = static_cast<std::size_t>(count) == batch_datagrams;
+    this->arrivals.drained = is_full ? this->arrivals.drained : now;
+    return is_full;
 }
 
 void packet_port::send(std::span<const outgoing> datagrams)
--- a/src/net/packet_port.hpp
+++ b/src/net/packet_port.hpp
@@ -12,12 +12,22 @@
 
 #include "core/core.hpp"
 #include "core/result.hpp"
+#include "net/arrival_clock.hpp"
 
 namespace briarbarrow
 {
 
+// A received datagram.
+struct received_datagram
+{
+    endpoint from;
+    std::span<const std::uint8_t> bytes;
+    // When it arrived at this host (arrival_clock.hpp).
+    millis arrived;
+};
+
 // Called for each datagram of a batch.
-using datagram_receiver = std::function<void(const endpoint& from, std::span<const std::uint8_t>)>;
+using datagram_receiver = std::function<void(const received_datagram&)>;
 
 // Called after all datagrams of a batch were passed to the receiver. Their bytes stay valid until
 // it returns.
@@ -58,6 +68,10 @@
     // counted as failures: the network may lose packets at any time, so nobody relies on delivery.
     void send(std::span<const outgoing> datagrams);
 
+    // Records that the socket is empty. To be called when the main loop has found no datagrams to
+    // read, so that arrival times are known without time stamps too.
+    void observe_idle();
+
     // Returns the counts since the port was opened.
     const packet_port_counts& counts() const;
 
@@ -75,6 +89,7 @@
     batch_end_callback batch_finished;
     packet_port_limits limits;
     packet_port_counts port_counts;
+    arrival_clock arrivals;
     std::unique_ptr<buffers> batch_buffers;
 };
 
--- a/src/tagged/router_openings.cpp
+++ b/src/tagged/router_openings.cpp
@@ -93,6 +93,27 @@
                : std::nullopt;
 }
 
+// The part of the time between two transmissions of an opening packet that a backend server has for
+// its answer.
+millis answer_reserve(router_state& state, backend_index backend, std::uint32_t interval_ms)
+{
+    const std::string& zone = state.backends.entries[backend].registration.zone;
+    return std::min(answer_timeout_for(state.zones, zone, state.settings.suspicion),
+                    millis{interval_ms / 2});
+}
+
+// True when the caller may send the next copy of an opening packet before a backend server has
+// answered this one. That copy may go through another daemon and to another backend server.
+bool is_overtaken(router_state& state, const tagged_packet& packet, backend_index backend)
+{
+    if (packet.retransmissions >= opening_retransmission_ms.size())
+    {
+        return false;
+    }
+    const std::uint32_t interval_ms = opening_retransmission_ms[packet.retransmissions];
+    return packet.waited + answer_reserve(state, backend, interval_ms) > millis{interval_ms};
+}
+
 // Forwards an opening packet to a backend server and starts waiting for the response.
 packet_decision send_opening(router_state& state, const flow_key& key, remembered_flow& flow,
                              const placement& chosen, verdict_reason reason, millis now)
@@ -181,6 +202,10 @@
     {
         return decide_unplaceable(state, request, packet, now);
     }
+    if (is_overtaken(state, packet, chosen->backend))
+    {
+        return decide(packet_verdict::drop, verdict_reason::overtaken);
+    }
     service_queue& queue = state.queues[request.service];
     const double uncontended_ms = queue.waits.uncontended_ms > 0
                                       ? queue.waits.uncontended_ms
@@ -224,8 +249,13 @@
 
 // Handles a retransmitted opening packet.
 packet_decision place_retransmission(router_state& state, const known_route& known,
-                                     const flow_key& key, remembered_flow& flow, millis now)
+                                     const flow_key& key, remembered_flow& flow,
+                                     const tagged_packet& packet, millis now)
 {
+    if (flow.stage != flow_stage::open && is_overtaken(state, packet, flow.backend))
+    {
+        return decide(packet_verdict::drop, verdict_reason::overtaken);
+    }
     const known_backend& previous = state.backends.entries[flow.backend];
     const bool is_responsive = !previous.evidence.is_suspected &&
                                previous.phase == backend_phase::serving && !previous.is_evacuated &&
@@ -262,11 +292,13 @@
            !backend.evidence.is_suspected;
 }
 
-// True when an opening packet waited in the socket during a pause in which its caller gave up.
-bool is_stale_backlog(const router_state& state, millis now)
+// The next copy is what counts: if it went through another daemon, the flow may be open by now.
+bool is_obsolete(const tagged_packet& packet)
 {
-    return state.pause_duration >= stale_backlog_pause &&
-           now < state.resumed_at + stale_backlog_window;
+    const bool has_next = packet.retransmissions < opening_retransmission_ms.size();
+    const millis lifetime =
+        has_next ? millis{opening_retransmission_ms[packet.retransmissions]} : opening_give_up_time;
+    return packet.waited >= lifetime;
 }
 
 packet_decision route_opening(router_state& state, const known_route& known, const flow_key& key,
@@ -276,14 +308,9 @@
     const bool is_retransmission = flow != nullptr && flow->backend != no_backend &&
                                    flow->stage != flow_stage::closed &&
                                    flow->opening_sequence == packet.sequence;
-    const bool is_open = is_retransmission && flow->stage == flow_stage::open;
-    if (is_stale_backlog(state, now) && !is_open)
-    {
-        return decide(packet_verdict::drop, verdict_reason::stale_backlog);
-    }
     if (is_retransmission)
     {
-        return place_retransmission(state, known, key, *flow, now);
+        return place_retransmission(state, known, key, *flow, packet, now);
     }
     if (flow != nullptr && is_tuple_in_use(state, *flow, now))
     {
--- a/src/tagged/router_parts.hpp
+++ b/src/tagged/router_parts.hpp
@@ -61,6 +61,10 @@
 packet_decision decide_forward(const remembered_flow& flow, verdict_reason reason);
 packet_decision decide_reset(const tagged_packet& packet, verdict_reason reason);
 
+// True when an opening packet has waited at this host until its caller sent the next copy or gave
+// up.
+bool is_obsolete(const tagged_packet& packet);
+
 // Routes an opening packet.
 packet_decision route_opening(router_state& state, const known_route& known, const flow_key& key,
                               const tagged_packet& packet, millis now);
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -310,6 +310,10 @@
     {
         return decide(packet_verdict::drop, verdict_reason::routes_not_known);
     }
+    if (packet.opens && is_obsolete(packet))
+    {
+        return decide(packet_verdict::drop, verdict_reason::overtaken);
+    }
     const endpoint destination{packet.tuple.destination, packet.tuple.destination_port};
     const known_route* known = find_route(state.routes, destination);
     if (known == nullptr && packet.is_reset)
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -8,6 +8,8 @@
 //     the tag, so any daemon can forward later packets without having seen the flow.
 //  2. A retransmitted opening packet goes to the same backend server if that one has responded to
 //     others since: the packet or its answer was lost. Otherwise it goes to another one.
+//     An opening packet that has waited at this host until its caller sends the next copy is
+//     dropped: the copy may go through another daemon, and only one of them may be answered.
 //  3. A later packet goes to the backend server at which the flow opened, if the flow is
 //     remembered (flow_memory.hpp), and otherwise to the one that its tag names. The tag alone is
 //     not enough: a caller repeats the newest tag, which may be that of a backend server that
@@ -71,12 +73,6 @@
 // missing from that time is no evidence against a backend server.
 constexpr millis pause_threshold{100};
 
-// Opening packets that are found after a pause of at least this long are dropped. Their callers
-// have given up or opened the flow through another daemon: they send copies for 1,400 ms, and
-// packets go elsewhere once two readiness checks, each half a second, have failed.
-constexpr millis stale_backlog_pause{2'500};
-// How long after its end they are found.
-constexpr millis stale_backlog_window{50};
 // After a pause of more than max_list_age a daemon is not ready for new flows until its lists have
 // been confirmed, but for this long at most.
 constexpr millis max_unconfirmed_time{1'000};
@@ -117,8 +113,8 @@
     wait_too_long,
     // Dropped to let the caller send it again.
     deferred,
-    // Dropped, since its caller gave up during a pause of this process.
-    stale_backlog,
+    // Dropped, since it has waited at this host until its caller sends the next copy or gives up.
+    overtaken,
     dead_backend,
     dead_tag,
     routes_not_known,
@@ -130,7 +126,7 @@
 constexpr std::array<std::string_view, 20> verdict_reason_names{
     "placed",         "placed_again",     "same_again",      "tuple_in_use",   "remembered",
     "tagged",         "no_route",         "no_backend",      "zone_evacuated", "warm_up_limit",
-    "standing_queue", "hopeless_wait",    "deferred",        "stale_backlog",  "dead_backend",
+    "standing_queue", "hopeless_wait",    "deferred",        "overtaken",      "dead_backend",
     "dead_tag",       "routes_not_known", "route_not_fresh", "tag_not_known",  "own_reset"};
 
 // The decision about one packet.
--- a/src/tagged/tagged_packet.hpp
+++ b/src/tagged/tagged_packet.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "core/clock.hpp"
 #include "wire/ip_packet.hpp"
 
 namespace briarbarrow
@@ -17,6 +18,8 @@
 
 // Time from each transmission of an opening packet to the caller's next one. Unit: milliseconds.
 constexpr std::array<std::uint32_t, 2> opening_retransmission_ms{200, 400};
+// Time from the last transmission of an opening packet until the caller gives up.
+constexpr millis opening_give_up_time{800};
 
 // Why a datagram is not a valid packet.
 enum class packet_error : std::uint8_t
@@ -46,6 +49,8 @@
     std::uint32_t tag = no_tag;
     // For an opening packet: how many times the caller has sent it before.
     std::uint32_t retransmissions = 0;
+    // How long it has waited at this host to be read.
+    millis waited;
 };
 
 } // namespace briarbarrow
--- a/src/testing/hazards_test.cpp
+++ b/src/testing/hazards_test.cpp
@@ -283,21 +283,46 @@
     }
 }
 
-TEST_CASE("pause: opening packets whose callers have given up are not placed")
+// A paused daemon finds in its socket opening packets whose callers have given up, or have opened
+// the flow with a later copy through another daemon.
+TEST_CASE("pause: opening packets that waited until the caller's next copy are not placed")
 {
     router_fixture fixture;
     fixture.advance(100);
-    const tagged_packet unanswered = fixture.opening(orders_address);
+    tagged_packet unanswered = fixture.opening(orders_address);
     fixture.route(unanswered);
-    fixture.now = fixture.now + stale_backlog_pause + router_tick_interval;
-    CHECK(fixture.route(unanswered).reason == verdict_reason::stale_backlog);
-    for (int i = 0; i < 10; ++i)
+    fixture.now = fixture.now + millis{2'500} + router_tick_interval;
+    unanswered.waited = millis{2'500};
+    CHECK(fixture.route(unanswered).reason == verdict_reason::overtaken);
+    for (const std::int64_t waited_ms : {200, 201, 399, 400, 799, 800, 1'000, 2'499, 2'500, 4'000})
     {
-        const packet_decision decision = fixture.route(fixture.opening(orders_address));
-        CHECK(decision.verdict == packet_verdict::drop);
-        CHECK(decision.reason == verdict_reason::stale_backlog);
+        for (const std::uint32_t copy : {0U, 1U, 2U})
+        {
+            CAPTURE(waited_ms);
+            CAPTURE(copy);
+            tagged_packet packet = fixture.opening(copy == 0 ? orders_address : previews_address);
+            packet.retransmissions = copy;
+            packet.waited = millis{waited_ms};
+            const packet_decision decision = fixture.route(packet);
+            const std::array<std::int64_t, 3> lifetimes_ms{200, 400, 800};
+            const bool is_obsolete = waited_ms >= lifetimes_ms[copy];
+            if (is_obsolete)
+            {
+                CHECK(decision.verdict == packet_verdict::drop);
+                CHECK(decision.reason == verdict_reason::overtaken);
+            }
+            else if (copy == 2)
+            {
+                // No further copy comes, and its caller still waits.
+                CHECK(decision.reason == verdict_reason::placed);
+            }
+        }
     }
-    fixture.advance(stale_backlog_window.count + router_tick_interval.count);
+    // Nobody knows the route, but the caller's flow may be open elsewhere.
+    tagged_packet unknown = fixture.opening(unknown_address);
+    unknown.waited = millis{300};
+    CHECK(fixture.route(unknown).verdict == packet_verdict::drop);
+    fixture.advance(100);
     CHECK(fixture.route(fixture.opening(orders_address)).reason == verdict_reason::placed);
     // Callers may still wait for an answer that a short pause delays.
     fixture.now = fixture.now + millis{800};
--- a/src/testing/net_test.cpp
+++ b/src/testing/net_test.cpp
@@ -1,8 +1,11 @@
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
@@ -14,6 +17,8 @@
 #include "net/http_responder.hpp"
 #include "net/instance_check.hpp"
 #include "net/line_log.hpp"
+#include "net/monotonic_clock.hpp"
+#include "net/packet_port.hpp"
 #include "net/socket_address.hpp"
 
 using namespace briarbarrow;
@@ -293,3 +298,51 @@
     line.add("text", "a\nb=\"c\" d").add("empty", "").add("plain", "x=y");
     CHECK(line.text() == "event=told text=\"a?b=?c? d\" empty=\"\" plain=x=y");
 }
+
+// A process that was paused could not tell old packets from new ones.
+TEST_CASE("arrival: a datagram that waited in the socket comes with its time of arrival")
+{
+    std::vector<millis> waits;
+    const endpoint local = free_address();
+    auto port = packet_port::open(
+        local,
+        [&waits](const received_datagram& datagram)
+        { waits.push_back(monotonic_now() - datagram.arrived); },
+        []() {});
+    REQUIRE(port);
+    const int sender = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_storage to{};
+    const socklen_t length = to_socket_address(local, to);
+    for (const int wait_ms : {150, 100, 0})
+    {
+        // The process doesn't read meanwhile, as in a pause.
+        REQUIRE(sendto(sender, "x", 1, 0, reinterpret_cast<sockaddr*>(&to), length) == 1);
+        std::this_thread::sleep_for(std::chrono::milliseconds{wait_ms});
+    }
+    while (waits.size() < 3)
+    {
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    close(sender);
+    CHECK(waits[0] >= millis{249});
+    CHECK(waits[1] >= millis{99});
+    CHECK(waits[1] < waits[0]);
+    CHECK(waits[2] < waits[1]);
+}
+
+TEST_CASE("arrival: without a usable time stamp a datagram may be as old as the socket's last rest")
+{
+    const arrival_clock clock{{millis{1'000}, millis{500'000}}};
+    const clock_reading now{millis{1'700}, millis{500'700}};
+    CHECK(arrival_time(clock, millis{500'600}, now) == millis{1'600});
+    CHECK(arrival_time(clock, std::nullopt, now) == millis{1'000});
+    // A stamp of before the last time at which the socket was empty can't be right.
+    CHECK(arrival_time(clock, millis{400'000}, now) == millis{1'000});
+    // The wall clock was set forward or back between both readings.
+    for (const std::int64_t step_ms : {-5'000, -700, -200, 200, 700, 5'000})
+    {
+        const clock_reading set{now.monotonic, now.wall + millis{step_ms}};
+        CHECK(arrival_time(clock, millis{500'600}, set) == millis{1'000});
+        CHECK(arrival_time(clock, millis{500'600 + step_ms}, set) == millis{1'000});
+    }
+}
--- a/src/testing/tagged_simulation.cpp
+++ b/src/testing/tagged_simulation.cpp
@@ -54,13 +54,20 @@
     std::vector<std::uint64_t> opened;
 };
 
+// A packet in a daemon's socket.
+struct queued_packet
+{
+    tagged_packet packet;
+    millis arrived;
+};
+
 struct simulated_daemon
 {
     std::size_t zone = 0;
     router_state router;
     millis next_gossip;
     // Packets that arrived while the daemon was paused.
-    std::deque<tagged_packet> queued_packets;
+    std::deque<queued_packet> queued_packets;
 };
 
 // One request of a caller, over all its attempts.
@@ -501,20 +508,21 @@
     {
         return;
     }
-    this->schedule_event(this->now_us + caller_link_delay_us,
-                         [this, daemon, packet]()
-                         {
-                             if (!this->has_power(daemon))
-                             {
-                                 return;
-                             }
-                             if (this->is_in_window(this->options.paused_daemons, daemon))
-                             {
-                                 this->daemons[daemon].queued_packets.push_back(packet);
-                                 return;
-                             }
-                             this->handle_packet(daemon, packet);
-                         });
+    this->schedule_event(
+        this->now_us + caller_link_delay_us,
+        [this, daemon, packet]()
+        {
+            if (!this->has_power(daemon))
+            {
+                return;
+            }
+            if (this->is_in_window(this->options.paused_daemons, daemon))
+            {
+                this->daemons[daemon].queued_packets.push_back({packet, this->now()});
+                return;
+            }
+            this->handle_packet(daemon, packet);
+        });
 }
 
 // The daemons to which the network's routers send a flow of a zone, by hash: those of the zone that
@@ -691,7 +699,8 @@
     simulated_daemon& host = this->daemons[daemon];
     while (!host.queued_packets.empty())
     {
-        const tagged_packet packet = host.queued_packets.front();
+        tagged_packet packet = host.queued_packets.front().packet;
+        packet.waited = this->now() - host.queued_packets.front().arrived;
         host.queued_packets.pop_front();
         this->handle_packet(daemon, packet);
     }
