Daemons pass on where a contested flow is open; copies read together go to one backend server

Where the flow is open was in the memory of one daemon only, which ended with its process. A paused backend server that answers late has the same effect without any pause of a daemon.

Change: a copy goes to another backend server only if the one before has had the time to answer. A daemon that sees a contested flow open reports where to its zone and to two keepers elsewhere; one that starts asks for these reports, and one that has seen only opening packets asks who saw the flow open. A packet of an unseen contested flow follows the report and not its tag (reason=contested).

Conclusion: fixed; zones of more than 41 daemons get the reports in part.

--- a/src/report/tagged_metrics.cpp
+++ b/src/report/tagged_metrics.cpp
@@ -57,6 +57,8 @@
     add_metric(page, "peer_questions_total", "", "", known.counts.requests_sent);
     add_metric(page, "peer_answers_total", "", "", known.counts.responses_sent);
     add_metric(page, "peer_bytes_sent_total", "", "", known.counts.bytes_sent);
+    add_metric(page, "contested_flows_reported_total", "", "", known.counts.contested_reported);
+    add_metric(page, "contested_flows_omitted_total", "", "", known.counts.contested_omitted);
     add_metric(page, "peer_datagrams_bad_total", "", "", known.counts.malformed_datagrams);
     add_metric_family(page, "replica_changes_total", "effect", change_effect_names,
                       known.counts.changes);
--- a/src/spread/peer_table.cpp
+++ b/src/spread/peer_table.cpp
@@ -1,6 +1,7 @@
 #include "spread/peer_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/ids.hpp"
 
@@ -10,18 +11,21 @@
 namespace
 {
 
-std::uint64_t next_random(peer_table& table)
+// Number of a zone's keepers.
+constexpr std::size_t zone_keepers = 2;
+
+std::uint64_t next_random(std::uint64_t& random)
 {
-    table.random = mix(table.random, 0x9e3779b97f4a7c15);
-    return table.random;
+    random = mix(random, 0x9e3779b97f4a7c15);
+    return random;
 }
 
 template <typename Item>
-void shuffle(std::vector<Item>& items, peer_table& table)
+void shuffle(std::vector<Item>& items, std::uint64_t& random)
 {
     for (std::size_t i = items.size(); i > 1; --i)
     {
-        std::swap(items[i - 1], items[next_random(table) % i]);
+        std::swap(items[i - 1], items[next_random(random) % i]);
     }
 }
 
@@ -32,7 +36,7 @@
     message.load = table.load;
     std::vector<const peer_entry*> others = live_peers(table, now);
     message.wants_reply = others.empty();
-    shuffle(others, table);
+    shuffle(others, table.random);
     for (const peer_entry* other : others)
     {
         if (message.others.size() < max_reported_peers && other->report.address != to)
@@ -122,8 +126,8 @@
             elsewhere.push_back(seed);
         }
     }
-    shuffle(own_zone, table);
-    shuffle(elsewhere, table);
+    shuffle(own_zone, table.random);
+    shuffle(elsewhere, table.random);
     std::vector<endpoint> chosen;
     const std::size_t own_zone_count = std::min(own_zone.size(), gossip_fanout - 1);
     chosen.insert(chosen.end(), own_zone.begin(),
@@ -233,6 +237,45 @@
     return members;
 }
 
+std::vector<endpoint> pick_zone_peers(const peer_table& table, std::uint64_t& random,
+                                      std::size_t limit, millis now)
+{
+    std::vector<endpoint> picked;
+    for (const peer_entry* peer : live_peers(table, now))
+    {
+        if (peer->report.zone == table.self.zone)
+        {
+            picked.push_back(peer->report.address);
+        }
+    }
+    shuffle(picked, random);
+    picked.resize(std::min(picked.size(), limit));
+    return picked;
+}
+
+std::vector<endpoint> keepers_of_zone(const peer_table& table, const std::string& zone, millis now)
+{
+    std::vector<std::pair<std::uint64_t, endpoint>> ranked;
+    for (const peer_entry* peer : live_peers(table, now))
+    {
+        if (peer->report.zone != zone)
+        {
+            ranked.emplace_back(mix(hash_name(zone), hash_name(to_string(peer->report.address))),
+                                peer->report.address);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<endpoint> keepers;
+    for (const auto& [rank, address] : ranked)
+    {
+        if (keepers.size() < zone_keepers)
+        {
+            keepers.push_back(address);
+        }
+    }
+    return keepers;
+}
+
 std::size_t count_in_zone(const peer_table& table, const std::string& zone, millis now)
 {
     std::size_t count = table.self.zone == zone && !table.self.is_leaving ? 1 : 0;
--- a/src/spread/peer_table.hpp
+++ b/src/spread/peer_table.hpp
@@ -142,6 +142,15 @@
 // Addresses of the daemons in this daemon's zone that are not leaving, this one included.
 std::vector<endpoint> zone_members(const peer_table& table, millis now);
 
+// Addresses of other live daemons in this daemon's zone, at most `limit` of them in random order.
+std::vector<endpoint> pick_zone_peers(const peer_table& table, std::uint64_t& random,
+                                      std::size_t limit, millis now);
+
+// Addresses of the few live daemons outside a zone that keep what the daemons of that zone have to
+// know after a restart, in case all others of the zone are paused or gone. All daemons select the
+// same ones, as far as they know the same peers.
+std::vector<endpoint> keepers_of_zone(const peer_table& table, const std::string& zone, millis now);
+
 // Number of daemons in a zone that are not leaving, counting this one.
 std::size_t count_in_zone(const peer_table& table, const std::string& zone, millis now);
 
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -1,5 +1,6 @@
 #include "spread/replica_sync.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/ids.hpp"
@@ -204,12 +205,76 @@
     }
 }
 
+// Asks daemons for contested flows, each once.
+void request_contested_flows_from(replica_sync& sync, const std::vector<endpoint>& peers,
+                                  std::vector<endpoint>& asked, std::size_t limit,
+                                  sync_actions& actions)
+{
+    for (const endpoint& peer : peers)
+    {
+        const bool was_asked = std::find(asked.begin(), asked.end(), peer) != asked.end();
+        if (!was_asked && asked.size() < limit)
+        {
+            asked.push_back(peer);
+            send(sync, actions, peer,
+                 encode_daemon_message(contested_flow_request{sync.peers.self.started}));
+        }
+    }
+}
+
+// A daemon that has started asks some others, as it comes to know them.
+void request_contested_flows(replica_sync& sync, millis now, sync_actions& actions)
+{
+    sync.contested_request_end =
+        sync.contested_request_end.value_or(now + contested_request_window);
+    if (now > *sync.contested_request_end)
+    {
+        return;
+    }
+    if (sync.contested_sources.size() < max_contested_sources)
+    {
+        request_contested_flows_from(
+            sync, pick_zone_peers(sync.peers, sync.contested_random, max_contested_sources, now),
+            sync.contested_sources, max_contested_sources, actions);
+    }
+    // The keepers differ while few daemons are known.
+    request_contested_flows_from(sync, keepers_of_zone(sync.peers, sync.peers.self.zone, now),
+                                 sync.contested_keepers, 2 * max_contested_sources, actions);
+}
+
+// Splits contested flows into messages that fit a datagram.
+std::vector<message_bytes> make_contested_reports(const std::vector<contested_flow>& flows)
+{
+    std::vector<message_bytes> messages;
+    for (std::size_t i = 0; i < flows.size(); i += max_reported_contested_flows)
+    {
+        const std::size_t end = std::min(flows.size(), i + max_reported_contested_flows);
+        messages.push_back(encode_daemon_message(
+            contested_flow_report{{flows.begin() + static_cast<std::ptrdiff_t>(i),
+                                   flows.begin() + static_cast<std::ptrdiff_t>(end)}}));
+    }
+    return messages;
+}
+
+void refill_contested_budget(replica_sync& sync, millis now)
+{
+    const auto elapsed_ms = static_cast<std::size_t>((now - sync.contested_budget_at).count);
+    const std::size_t refill = elapsed_ms * contested_report_bytes_per_s / 1'000;
+    if (refill > 0)
+    {
+        sync.contested_budget =
+            std::min(contested_report_burst_bytes, sync.contested_budget + refill);
+        sync.contested_budget_at = now;
+    }
+}
+
 } // namespace
 
 void start_replica_sync(replica_sync& sync, const peer_report& self,
                         const std::vector<endpoint>& seeds, std::uint64_t seed)
 {
     start_peer_table(sync.peers, self, seeds, seed);
+    sync.contested_random = seed;
     // Request numbers differ from those of an earlier process, so that a late response to that one
     // is not accepted.
     sync.requester.number = mix(seed, static_cast<std::uint64_t>(self.started)) >> 16;
@@ -230,6 +295,7 @@
     if (now >= sync.next_role_update)
     {
         sync.next_role_update = now + role_update_interval;
+        request_contested_flows(sync, now, actions);
         sync.assigned_role =
             decide_watcher_role(sync.peers, sync.peers.self.store_age, sync.avoided, now);
     }
@@ -272,6 +338,14 @@
     {
         updates.faults.push_back(*report);
     }
+    else if (const auto* contested = std::get_if<contested_flow_report>(&*message))
+    {
+        updates.contested = contested->flows;
+    }
+    else if (std::holds_alternative<contested_flow_request>(*message))
+    {
+        updates.contested_requesters.push_back(from);
+    }
 }
 
 void report_fault(replica_sync& sync, const fault_report& report, millis now, sync_actions& actions)
@@ -287,6 +361,46 @@
     }
 }
 
+void report_contested_flows(replica_sync& sync, const std::vector<contested_flow>& flows,
+                            millis now, sync_actions& actions)
+{
+    if (flows.empty())
+    {
+        return;
+    }
+    refill_contested_budget(sync, now);
+    std::vector<endpoint> recipients =
+        pick_zone_peers(sync.peers, sync.contested_random, max_contested_report_recipients, now);
+    const std::vector<endpoint> keepers = keepers_of_zone(sync.peers, sync.peers.self.zone, now);
+    recipients.insert(recipients.end(), keepers.begin(), keepers.end());
+    std::size_t reported = 0;
+    for (const message_bytes& message : make_contested_reports(flows))
+    {
+        const std::size_t bytes = message.size() * recipients.size();
+        if (bytes > sync.contested_budget)
+        {
+            break;
+        }
+        sync.contested_budget -= bytes;
+        reported = std::min(flows.size(), reported + max_reported_contested_flows);
+        for (const endpoint& recipient : recipients)
+        {
+            send(sync, actions, recipient, message);
+        }
+    }
+    sync.counts.contested_reported += reported;
+    sync.counts.contested_omitted += flows.size() - reported;
+}
+
+void send_contested_flows(replica_sync& sync, const endpoint& to,
+                          const std::vector<contested_flow>& flows, sync_actions& actions)
+{
+    for (message_bytes& message : make_contested_reports(flows))
+    {
+        send(sync, actions, to, std::move(message));
+    }
+}
+
 void handle_store_response(replica_sync& sync, const store_response& response, millis now,
                            sync_updates& updates)
 {
--- a/src/spread/replica_sync.hpp
+++ b/src/spread/replica_sync.hpp
@@ -19,6 +19,7 @@
 
 #include "core/clock.hpp"
 #include "follow/store_follower.hpp"
+#include "spread/contested_flow.hpp"
 #include "spread/item_replica.hpp"
 #include "spread/peer_table.hpp"
 #include "spread/spread_messages.hpp"
@@ -43,6 +44,16 @@
 constexpr millis avoidance_duration{2'000};
 // Maximum number of daemons that one fault report is sent to.
 constexpr std::size_t max_fault_report_recipients = 40;
+// The same for contested flows, which are reported within the own zone, and to its keepers.
+constexpr std::size_t max_contested_report_recipients = 40;
+// Bytes of such reports: on average, and at once.
+constexpr std::size_t contested_report_bytes_per_s = 1'000;
+constexpr std::size_t contested_report_burst_bytes = 40'000;
+// Daemons of its zone that a daemon which has started asks for the contested flows that they know,
+// beside the zone's keepers.
+constexpr std::size_t max_contested_sources = 3;
+// How long it looks for them.
+constexpr millis contested_request_window{10'000};
 
 // A datagram to another daemon.
 struct outgoing_datagram
@@ -84,6 +95,9 @@
     // Faults of backend servers, and load, that other daemons reported.
     std::vector<fault_report> faults;
     std::vector<load_report> loads;
+    // Contested flows that other daemons reported, and daemons that ask for them.
+    std::vector<contested_flow> contested;
+    std::vector<endpoint> contested_requesters;
 };
 
 // Counters for the metrics page.
@@ -94,6 +108,9 @@
     std::uint64_t responses_sent = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t malformed_datagrams = 0;
+    // Contested flows that were reported, and those left out to save bytes.
+    std::uint64_t contested_reported = 0;
+    std::uint64_t contested_omitted = 0;
     // Changes by effect.
     std::array<std::uint64_t, change_effect_names.size()> changes{};
 };
@@ -124,6 +141,14 @@
     std::optional<millis> requested_at;
     millis next_request_at;
     std::uint32_t lost_requests = 0;
+    // Daemons that were asked for contested flows, in the own zone and elsewhere.
+    std::vector<endpoint> contested_sources;
+    std::vector<endpoint> contested_keepers;
+    std::optional<millis> contested_request_end;
+    std::uint64_t contested_random = 1;
+    // Bytes that reports of contested flows may take now, as of `contested_budget_at`.
+    std::size_t contested_budget = contested_report_burst_bytes;
+    millis contested_budget_at;
     sync_counts counts;
 };
 
@@ -144,6 +169,14 @@
 void report_fault(replica_sync& sync, const fault_report& report, millis now,
                   sync_actions& actions);
 
+// Reports contested flows to other daemons of the own zone and to its keepers.
+void report_contested_flows(replica_sync& sync, const std::vector<contested_flow>& flows,
+                            millis now, sync_actions& actions);
+
+// Answers a daemon that asks for contested flows.
+void send_contested_flows(replica_sync& sync, const endpoint& to,
+                          const std::vector<contested_flow>& flows, sync_actions& actions);
+
 // Processes the response to a store call.
 void handle_store_response(replica_sync& sync, const store_response& response, millis now,
                            sync_updates& updates);
--- a/src/spread/spread_messages.cpp
+++ b/src/spread/spread_messages.cpp
@@ -25,6 +25,10 @@
                          v.value_bytes, v.bytes)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::change_response, v.number, v.has_list, v.list_age,
                          v.oldest_position, v.position, v.ahead_position, v.has_more, v.items)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::flow_key, v.high, v.low)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::contested_flow, v.key, v.opening_sequence, v.tag, v.age)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::contested_flow_report, v.flows)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::contested_flow_request, v.started)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::fault_report, v.fault, v.backend, v.answered_since_report)
 
 } // namespace adaptor
@@ -80,6 +84,10 @@
         return decode_as<change_response>(body);
     case 3:
         return decode_fault(body);
+    case 4:
+        return decode_as<contested_flow_report>(body);
+    case 5:
+        return decode_as<contested_flow_request>(body);
     default:
         return std::nullopt;
     }
--- a/src/spread/spread_messages.hpp
+++ b/src/spread/spread_messages.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <variant>
 
+#include "spread/contested_flow.hpp"
 #include "spread/item_replica.hpp"
 #include "spread/peer_table.hpp"
 #include "wire/messages.hpp"
@@ -37,7 +38,8 @@
     friend bool operator==(const fault_report&, const fault_report&) = default;
 };
 
-using daemon_message = std::variant<gossip_message, change_request, change_response, fault_report>;
+using daemon_message = std::variant<gossip_message, change_request, change_response, fault_report,
+                                    contested_flow_report, contested_flow_request>;
 
 message_bytes encode_daemon_message(const daemon_message& message);
 
--- a/src/tagged/flow_memory.hpp
+++ b/src/tagged/flow_memory.hpp
@@ -78,6 +78,8 @@
     millis opened;
     millis last_packet;
     millis last_progress;
+    // Another backend server may have received an opening packet of the flow.
+    bool is_contested = false;
     // Opening packets that were forwarded; 0 if this daemon did not see the flow open.
     std::uint32_t openings = 0;
 };
--- a/src/tagged/router_openings.cpp
+++ b/src/tagged/router_openings.cpp
@@ -114,10 +114,23 @@
     return packet.waited + answer_reserve(state, backend, interval_ms) > millis{interval_ms};
 }
 
+// True when a backend server has had the time to answer the copy of an opening packet before this
+// one. The network may deliver both together.
+bool had_time_to_answer(router_state& state, const remembered_flow& flow,
+                        const tagged_packet& packet, millis now)
+{
+    const std::size_t previous = std::min<std::size_t>(std::max(packet.retransmissions, 1U) - 1,
+                                                       opening_retransmission_ms.size() - 1);
+    return now >= flow.last_packet +
+                      answer_reserve(state, flow.backend, opening_retransmission_ms[previous]);
+}
+
 // Forwards an opening packet to a backend server and starts waiting for the response.
 packet_decision send_opening(router_state& state, const flow_key& key, remembered_flow& flow,
                              const placement& chosen, verdict_reason reason, millis now)
 {
+    flow.is_contested =
+        flow.is_contested || (flow.backend != no_backend && flow.backend != chosen.backend);
     attach_flow(state.backends, flow, chosen.backend);
     observe_cold_placement(state, chosen.backend, now);
     if (chosen.is_probe)
@@ -230,6 +243,8 @@
     opened_at.kind = known.current.kind;
     opened_at.timeout = known.current.timeout;
     opened_at.opening_sequence = packet.sequence;
+    // The copies before this one went through another daemon, or were lost.
+    opened_at.is_contested = packet.retransmissions > 0;
     opened_at.data_end = packet.sequence + 1;
     opened_at.first_seen = now;
     opened_at.last_packet = now;
@@ -260,7 +275,8 @@
     const bool is_responsive = !previous.evidence.is_suspected &&
                                previous.phase == backend_phase::serving && !previous.is_evacuated &&
                                previous.evidence.last_response > flow.last_packet;
-    if (flow.stage == flow_stage::open || is_responsive)
+    if (flow.stage == flow_stage::open || is_responsive ||
+        !had_time_to_answer(state, flow, packet, now))
     {
         flow.last_packet = now;
         return decide_forward(flow, verdict_reason::resent_to_same_backend);
@@ -317,6 +333,7 @@
         return decide_forward(*flow, verdict_reason::tuple_in_use);
     }
     forget_flow(state, key);
+    remove_contested_flow(state.contested, key);
     return place_new_flow(state, known, key, packet, now);
 }
 
--- a/src/tagged/router_upkeep.cpp
+++ b/src/tagged/router_upkeep.cpp
@@ -50,6 +50,17 @@
     }
 }
 
+// Asks the other daemons about a contested flow of which this one has only seen opening packets: it
+// may have opened through one of them.
+void report_unopened_flow(router_state& state, const flow_key& key, const remembered_flow& flow)
+{
+    if (flow.is_contested && flow.stage == flow_stage::opening &&
+        state.contested.flows.count(key) == 0)
+    {
+        state.newly_contested.push_back({key, flow.opening_sequence});
+    }
+}
+
 // Reviews the flows that are due: removes expired ones, and stops counting abandoned ones as load.
 void review_flows(router_state& state, millis now)
 {
@@ -63,6 +74,7 @@
         {
             continue;
         }
+        report_unopened_flow(state, key, *flow);
         if (is_flow_expired(*flow, state.routes.idle_timeout, now))
         {
             forget_flow(state, key);
@@ -295,6 +307,7 @@
             decay_fraction * (service_ms - backend.evidence.flow_lifetime_ms);
     }
     forget_unlisted(state.backends, now);
+    expire_contested_flows(state.contested, state.settings.max_flow_age, now);
 }
 
 } // namespace
@@ -476,6 +489,8 @@
     state.newly_unresponsive.clear();
     actions.failures = std::move(state.failure_reports);
     state.failure_reports.clear();
+    actions.contested = std::move(state.newly_contested);
+    state.newly_contested.clear();
     smooth_load(state, now);
     end_demotions(state, now);
     reset_stalled_flows(state, now, actions);
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -187,6 +187,8 @@
 {
     if (tagged && *tagged != flow.backend)
     {
+        // Another daemon has placed the flow as well.
+        flow.is_contested = true;
         attach_flow(state.backends, flow, *tagged);
     }
     else if (flow.openings == 1)
@@ -202,6 +204,12 @@
     flow.is_outcome_pending = true;
     flow.last_progress = now;
     record_response(state, flow.backend, now);
+    if (flow.is_contested)
+    {
+        const contested_flow opened{flow_key_of(flow.tuple), flow.opening_sequence, flow.tag};
+        add_contested_flow(state.contested, opened, now);
+        state.newly_contested.push_back(opened);
+    }
 }
 
 // Routes a packet of a flow whose backend server is known.
@@ -253,7 +261,10 @@
 packet_decision route_subsequent(router_state& state, const known_route& known, const flow_key& key,
                                  const tagged_packet& packet, millis now)
 {
-    const std::optional<backend_index> tagged = find_tagged_backend(state, known, packet.tag);
+    const std::optional<std::uint32_t> contested_tag =
+        find_contested_tag(state.contested, key, packet.sequence, state.settings.max_flow_age, now);
+    const std::uint32_t tag = contested_tag.value_or(packet.tag);
+    const std::optional<backend_index> tagged = find_tagged_backend(state, known, tag);
     remembered_flow* flow = find_flow(state, key);
     const bool is_other_flow =
         flow != nullptr && flow->stage == flow_stage::closed && tagged && *tagged != flow->backend;
@@ -265,7 +276,7 @@
     verdict_reason reason = verdict_reason::remembered;
     if (flow == nullptr)
     {
-        reason = verdict_reason::tagged;
+        reason = contested_tag ? verdict_reason::contested : verdict_reason::tagged;
         flow = remember_unseen_flow(state, known, key, packet, now);
     }
     if (flow == nullptr)
@@ -275,7 +286,7 @@
         {
             decision = decide(packet_verdict::forward, verdict_reason::tagged);
             decision.backend = *tagged;
-            decision.tag = packet.tag;
+            decision.tag = tag;
         }
         return decision;
     }
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -11,9 +11,9 @@
 //     An opening packet that has waited at this host until its caller sends the next copy is
 //     dropped: the copy may go through another daemon, and only one of them may be answered.
 //  3. A later packet goes to the backend server at which the flow opened, if the flow is
-//     remembered (flow_memory.hpp), and otherwise to the one that its tag names. The tag alone is
-//     not enough: a caller repeats the newest tag, which may be that of a backend server that
-//     answered second.
+//     remembered (flow_memory.hpp), or known to be contested (contested_flows.hpp), and otherwise
+//     to the one that its tag names. The tag alone is not enough: a caller repeats the newest tag,
+//     which may be that of a backend server that answered second.
 //  4. A packet whose route has been removed, and a flow whose backend server is presumed dead, get
 //     a reset so that the caller can retry at once. While that is uncertain the packet is forwarded
 //     or dropped: a live flow is never reset.
@@ -40,10 +40,12 @@
 
 #include "core/clock.hpp"
 #include "follow/store_position.hpp"
+#include "spread/contested_flow.hpp"
 #include "spread/load_report.hpp"
 #include "tagged/admission.hpp"
 #include "tagged/answer_quality.hpp"
 #include "tagged/backend_directory.hpp"
+#include "tagged/contested_flows.hpp"
 #include "tagged/fleet_load.hpp"
 #include "tagged/flow_memory.hpp"
 #include "tagged/placement.hpp"
@@ -99,9 +101,11 @@
     resent_to_same_backend,
     // An opening packet for the addresses of an open flow.
     tuple_in_use,
-    // A later packet of a remembered flow, or one that was routed by its tag.
+    // A later packet of a remembered flow, one that was routed by its tag, and one of a contested
+    // flow, which was not.
     remembered,
     tagged,
+    contested,
     no_route,
     no_backend,
     // The service's backend servers are all in evacuated zones.
@@ -123,11 +127,12 @@
     proactive_reset
 };
 
-constexpr std::array<std::string_view, 20> verdict_reason_names{
-    "placed",         "placed_again",     "same_again",      "tuple_in_use",   "remembered",
-    "tagged",         "no_route",         "no_backend",      "zone_evacuated", "warm_up_limit",
-    "standing_queue", "hopeless_wait",    "deferred",        "overtaken",      "dead_backend",
-    "dead_tag",       "routes_not_known", "route_not_fresh", "tag_not_known",  "own_reset"};
+constexpr std::array<std::string_view, 21> verdict_reason_names{
+    "placed",        "placed_again",   "same_again",       "tuple_in_use",    "remembered",
+    "tagged",        "contested",      "no_route",         "no_backend",      "zone_evacuated",
+    "warm_up_limit", "standing_queue", "hopeless_wait",    "deferred",        "overtaken",
+    "dead_backend",  "dead_tag",       "routes_not_known", "route_not_fresh", "tag_not_known",
+    "own_reset"};
 
 // The decision about one packet.
 struct packet_decision
@@ -211,9 +216,10 @@
     // Backend servers that are due for a health check.
     std::vector<backend_index> checks;
     // Reports for the other daemons: names of backend servers that a health check found
-    // unresponsive, and requests that failed.
+    // unresponsive, requests that failed, and contested flows that have opened.
     std::vector<std::string> unresponsive;
     std::vector<failure_report> failures;
+    std::vector<contested_flow> contested;
 };
 
 // Settings of a router; fixed once it has started.
@@ -224,6 +230,8 @@
     admission_limits admission;
     suspicion_limits suspicion;
     answer_limits answers;
+    // A flow that is older than this may be discarded by its ends.
+    millis max_flow_age{60'000};
     // Learns the pace of each backend server together with the other daemons.
     bool learns_pace = false;
     pace_limits pace;
@@ -262,6 +270,7 @@
     route_table routes;
     backend_directory backends;
     flow_memory flows;
+    contested_flow_list contested;
     zone_status_list zones;
     // Smoothed lifetime of each service's flows. Unit: milliseconds.
     std::unordered_map<service_id, double> service_ms;
@@ -273,6 +282,7 @@
     std::vector<backend_index> requested_checks;
     std::vector<std::string> newly_unresponsive;
     std::vector<failure_report> failure_reports;
+    std::vector<contested_flow> newly_contested;
     std::uint32_t failure_report_budget = 0;
     // When the lists were last confirmed to be complete, and since when they have been fresh
     // without a break.
@@ -332,6 +342,11 @@
 // Handles another daemon's report of a failed request.
 void handle_failure_report(router_state& state, const failure_report& report, millis now);
 
+// Handles another daemon's report of contested flows, and returns those that this one knows.
+void handle_contested_flows(router_state& state, const std::vector<contested_flow>& flows,
+                            millis now);
+std::vector<contested_flow> known_contested_flows(const router_state& state, millis now);
+
 // Makes the report about load for the other daemons, and handles one of another daemon.
 load_report make_load_report(const router_state& state, millis now);
 void handle_load_report(router_state& state, const load_report& report, millis now);
--- a/src/testing/hazards_test.cpp
+++ b/src/testing/hazards_test.cpp
@@ -192,6 +192,65 @@
     CHECK(fixture.route(late).tag != tag);
 }
 
+// Copies that the network delivers together went to one backend server each, and all of them
+// answered: the caller repeated the tag of the last one.
+TEST_CASE("late copy: copies of an opening packet that arrive together go to one backend server")
+{
+    for (const std::int64_t spacing_ms : {0, 1, 5, 20})
+    {
+        router_fixture fixture;
+        for (int i = 0; i < 20; ++i)
+        {
+            tagged_packet opening = fixture.opening(orders_address);
+            const std::uint32_t tag = fixture.route(opening).tag;
+            for (const std::uint32_t copy : {1U, 2U})
+            {
+                fixture.now = fixture.now + millis{spacing_ms};
+                opening.retransmissions = copy;
+                CHECK(fixture.route(opening).tag == tag);
+            }
+        }
+    }
+}
+
+// A daemon that has not seen a contested flow open goes by the report of one that has.
+TEST_CASE("late copy: the tag of a second answer doesn't lead other daemons astray")
+{
+    router_fixture fixture;
+    router_fixture other;
+    tagged_packet opening = fixture.opening(orders_address);
+    const std::uint32_t first = fixture.route(opening).tag;
+    // No answer, though others answer.
+    fixture.advance(200);
+    opening.retransmissions = 1;
+    const std::uint32_t second = fixture.route(opening).tag;
+    REQUIRE(second != first);
+    fixture.route(router_fixture::data(opening, second));
+    fixture.now = fixture.now + router_tick_interval;
+    router_actions actions;
+    tick_router(fixture.router, fixture.now, actions);
+    REQUIRE(actions.contested.size() == 1);
+    handle_contested_flows(other.router, actions.contested, other.now);
+    // The first backend server has answered after all.
+    const tagged_packet next = router_fixture::data(opening, first);
+    CHECK(other.route(next).tag == second);
+    // Another flow from the same address is another one's.
+    router_fixture third;
+    handle_contested_flows(third.router, known_contested_flows(other.router, other.now), third.now);
+    tagged_packet foreign = next;
+    foreign.sequence += 0x9000'0000U;
+    CHECK(third.route(foreign).tag == first);
+    // An entry ends with the longest life of a flow, and when the addresses are used again.
+    router_fixture late;
+    handle_contested_flows(late.router, actions.contested, late.now);
+    late.advance(late.router.settings.max_flow_age.count + 2'000);
+    CHECK(late.router.contested.flows.empty());
+    router_fixture reused;
+    handle_contested_flows(reused.router, actions.contested, reused.now);
+    reused.route(opening);
+    CHECK(reused.router.contested.flows.empty());
+}
+
 TEST_CASE("late copy: a second copy of a response is not taken for the next one")
 {
     for (const int copy_delay_ms : {0, 30})
--- a/src/testing/idle_flow_fleet.cpp
+++ b/src/testing/idle_flow_fleet.cpp
@@ -41,6 +41,8 @@
 {
     router_state router;
     std::deque<arrived_packet> waiting;
+    std::vector<contested_flow> waiting_reports;
+    std::vector<std::size_t> waiting_requests;
     bool is_paused = false;
     bool is_stopping = false;
     bool is_up = true;
@@ -68,6 +70,7 @@
     // The backend server whose answer was acknowledged.
     std::optional<std::size_t> server;
     std::set<std::size_t> answering_servers;
+    std::size_t last_daemon = 0;
     bool has_ended = false;
     bool is_awaiting = false;
     std::size_t requests = 0;
@@ -77,7 +80,7 @@
 {
 public:
     explicit idle_flow_fleet(const idle_flow_options& options)
-        : options(options), daemons(options.daemons), servers(options.backends),
+        : options(options), daemons(options.daemons + options.keepers), servers(options.backends),
           callers(options.flows)
     {
     }
@@ -104,6 +107,10 @@
     void schedule_disruptions();
     void check_readiness();
     void tick(std::size_t index);
+    void run_tick(std::size_t index);
+    bool is_in_touch(const std::vector<process_window>& pauses, std::size_t index) const;
+    void report_contested(std::size_t to, const std::vector<contested_flow>& flows);
+    void ask_for_contested(std::size_t index);
     void resume_daemon(std::size_t index);
     void resume_server(std::size_t index);
     std::size_t select_daemon(std::size_t flow) const;
@@ -132,6 +139,8 @@
     simulated_daemon& daemon = this->daemons[index];
     daemon.router = router_state{};
     daemon.waiting.clear();
+    daemon.waiting_reports.clear();
+    daemon.waiting_requests.clear();
     daemon.is_stopping = false;
     daemon.is_up = true;
     router_settings settings;
@@ -165,14 +174,25 @@
         this->at(restart.begin,
                  [this, restart]() { this->daemons[restart.index].is_stopping = true; });
         this->at((restart.begin + restart.end) / 2,
-                 [this, restart]() { this->daemons[restart.index].is_up = false; });
-        this->at(restart.end, [this, restart]() { this->start_daemon(restart.index); });
+                 [this, restart]()
+                 {
+                     // A daemon exits at the end of a tick.
+                     this->run_tick(restart.index);
+                     this->daemons[restart.index].is_up = false;
+                 });
+        this->at(restart.end,
+                 [this, restart]()
+                 {
+                     this->start_daemon(restart.index);
+                     this->after(network_delay_ms,
+                                 [this, restart]() { this->ask_for_contested(restart.index); });
+                 });
     }
 }
 
 void idle_flow_fleet::check_readiness()
 {
-    for (std::size_t i = 0; i < this->daemons.size(); ++i)
+    for (std::size_t i = 0; i < this->options.daemons; ++i)
     {
         simulated_daemon& daemon = this->daemons[i];
         const bool is_ready = daemon.is_up && !daemon.is_paused && !daemon.is_stopping &&
@@ -193,6 +213,11 @@
 void idle_flow_fleet::tick(std::size_t index)
 {
     this->after(router_tick_interval.count, [this, index]() { this->tick(index); });
+    this->run_tick(index);
+}
+
+void idle_flow_fleet::run_tick(std::size_t index)
+{
     simulated_daemon& daemon = this->daemons[index];
     if (daemon.is_paused || !daemon.is_up)
     {
@@ -206,6 +231,11 @@
         const std::size_t flow = reset.flow.source_port;
         this->after(network_delay_ms, [this, flow]() { this->receive_reset(std::nullopt, flow); });
     }
+    for (std::size_t i = 0; i < this->daemons.size() && !actions.contested.empty(); ++i)
+    {
+        this->after(network_delay_ms,
+                    [this, i, flows = actions.contested]() { this->report_contested(i, flows); });
+    }
     for (const backend_index checked : actions.checks)
     {
         const backend_registration& backend = daemon.router.backends.entries[checked].registration;
@@ -216,10 +246,47 @@
     }
 }
 
+void idle_flow_fleet::report_contested(std::size_t to, const std::vector<contested_flow>& flows)
+{
+    simulated_daemon& daemon = this->daemons[to];
+    if (daemon.is_paused)
+    {
+        daemon.waiting_reports.insert(daemon.waiting_reports.end(), flows.begin(), flows.end());
+    }
+    else if (daemon.is_up)
+    {
+        handle_contested_flows(daemon.router, flows, this->now());
+    }
+}
+
+// The daemon asks others when it starts.
+void idle_flow_fleet::ask_for_contested(std::size_t index)
+{
+    for (std::size_t i = 0; i < this->daemons.size(); ++i)
+    {
+        simulated_daemon& source = this->daemons[i];
+        if (i != index && source.is_paused)
+        {
+            source.waiting_requests.push_back(index);
+        }
+        else if (i != index && source.is_up)
+        {
+            this->report_contested(index, known_contested_flows(source.router, this->now()));
+        }
+    }
+}
+
 void idle_flow_fleet::resume_daemon(std::size_t index)
 {
     simulated_daemon& daemon = this->daemons[index];
     daemon.is_paused = false;
+    this->report_contested(index, daemon.waiting_reports);
+    daemon.waiting_reports.clear();
+    for (const std::size_t requester : daemon.waiting_requests)
+    {
+        this->report_contested(requester, known_contested_flows(daemon.router, this->now()));
+    }
+    daemon.waiting_requests.clear();
     std::deque<arrived_packet> waiting;
     waiting.swap(daemon.waiting);
     for (const arrived_packet& arrived : waiting)
@@ -244,10 +311,10 @@
 {
     std::vector<std::size_t> members(this->rotation.begin(), this->rotation.end());
     // With fewer than half of the daemons in rotation all are used.
-    if (2 * members.size() < this->daemons.size())
+    if (2 * members.size() < this->options.daemons)
     {
         members.clear();
-        for (std::size_t i = 0; i < this->daemons.size(); ++i)
+        for (std::size_t i = 0; i < this->options.daemons; ++i)
         {
             members.push_back(i);
         }
@@ -286,6 +353,7 @@
     tagged_packet packet = arrived.packet;
     packet.waited = this->now() - arrived.arrived;
     const std::size_t flow = packet.tuple.source_port;
+    this->callers[flow].last_daemon = index;
     const packet_decision decision = route_packet(daemon.router, packet, this->now());
     if (decision.verdict == packet_verdict::reset)
     {
@@ -405,6 +473,17 @@
     caller.has_ended = true;
 }
 
+bool idle_flow_fleet::is_in_touch(const std::vector<process_window>& pauses,
+                                  std::size_t index) const
+{
+    return std::none_of(pauses.begin(), pauses.end(),
+                        [this, index](const process_window& pause)
+                        {
+                            return pause.index == index && pause.begin <= this->now_ms &&
+                                   this->now_ms < pause.end + stable_window_ms;
+                        });
+}
+
 void idle_flow_fleet::receive_reset(std::optional<std::size_t> index, std::size_t flow)
 {
     simulated_caller& caller = this->callers[flow];
@@ -413,7 +492,15 @@
         return;
     }
     caller.has_ended = true;
-    this->report.broken += caller.server && index != caller.server ? 1 : 0;
+    if (!caller.server || index == caller.server)
+    {
+        return;
+    }
+    ++this->report.broken;
+    const bool is_in_touch = this->is_in_touch(this->options.paused_daemons, caller.last_daemon) &&
+                             this->is_in_touch(this->options.paused_backends, *caller.server) &&
+                             (!index || this->is_in_touch(this->options.paused_backends, *index));
+    this->report.broken_in_touch += is_in_touch ? 1 : 0;
 }
 
 void idle_flow_fleet::open_flow(std::size_t flow)
@@ -480,7 +567,10 @@
     for (std::size_t i = 0; i < this->daemons.size(); ++i)
     {
         this->start_daemon(i);
-        this->rotation.insert(i);
+        if (i < this->options.daemons)
+        {
+            this->rotation.insert(i);
+        }
         this->after(static_cast<std::int64_t>(i) + 1, [this, i]() { this->tick(i); });
     }
     this->schedule_disruptions();
--- a/src/testing/idle_flow_fleet.hpp
+++ b/src/testing/idle_flow_fleet.hpp
@@ -12,6 +12,8 @@
 namespace briarbarrow
 {
 
+constexpr std::int64_t stable_window_ms = 4'000;
+
 // A time in which a process is paused or a daemon is restarted. Unit: milliseconds from the start
 // of the run.
 struct process_window
@@ -26,6 +28,8 @@
 {
     std::uint64_t seed = 1;
     std::size_t daemons = 2;
+    // Daemons of other zones that keep the reports of contested flows; numbered after the daemons.
+    std::size_t keepers = 0;
     std::size_t backends = 8;
     std::size_t flows = 400;
     std::int64_t opening_interval_ms = 20;
@@ -50,6 +54,9 @@
     std::uint64_t answers = 0;
     // Open flows whose caller got a reset that the flow's backend server didn't send.
     std::uint64_t broken = 0;
+    // Those of them at which no process that took part had been paused within `stable_window_ms`:
+    // the daemon that took the packet, the flow's backend server, and the sender of the reset.
+    std::uint64_t broken_in_touch = 0;
     // Flows of which two backend servers had answered the opening packet.
     std::uint64_t answered_twice = 0;
 };
