A late copy of a contested flow's opening packet opens nothing; bounded answers to a daemon that starts

A copy that the network delays could reach a daemon that knows from a report that the flow is open elsewhere, and was placed like a new flow, which made one more backend server answer.

Change: an opening packet with the sequence number of a known contested flow is dropped; the answer has the 500 newest flows.

--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -395,7 +395,10 @@
 void send_contested_flows(replica_sync& sync, const endpoint& to,
                           const std::vector<contested_flow>& flows, sync_actions& actions)
 {
-    for (message_bytes& message : make_contested_reports(flows))
+    const std::size_t count = std::min(flows.size(), max_contested_answer_flows);
+    const std::vector<contested_flow> newest(flows.begin(),
+                                             flows.begin() + static_cast<std::ptrdiff_t>(count));
+    for (message_bytes& message : make_contested_reports(newest))
     {
         send(sync, actions, to, std::move(message));
     }
--- a/src/spread/replica_sync.hpp
+++ b/src/spread/replica_sync.hpp
@@ -52,6 +52,8 @@
 // Daemons of its zone that a daemon which has started asks for the contested flows that they know,
 // beside the zone's keepers.
 constexpr std::size_t max_contested_sources = 3;
+// Flows in the answer, the newest first.
+constexpr std::size_t max_contested_answer_flows = 500;
 // How long it looks for them.
 constexpr millis contested_request_window{10'000};
 
--- a/src/tagged/contested_flows.cpp
+++ b/src/tagged/contested_flows.cpp
@@ -45,6 +45,14 @@
     }
 }
 
+bool is_known_to_be_open(const contested_flow_list& list, const flow_key& key,
+                         std::uint32_t opening_sequence, millis max_age, millis now)
+{
+    const auto found = list.flows.find(key);
+    return found != list.flows.end() && now <= found->second.opened + max_age &&
+           opening_sequence == found->second.opening_sequence;
+}
+
 std::optional<std::uint32_t> find_contested_tag(const contested_flow_list& list,
                                                 const flow_key& key, std::uint32_t sequence,
                                                 millis max_age, millis now)
--- a/src/tagged/contested_flows.hpp
+++ b/src/tagged/contested_flows.hpp
@@ -49,6 +49,10 @@
 // Removes a flow, since its addresses are used again.
 void remove_contested_flow(contested_flow_list& list, const flow_key& key);
 
+// True when a flow with this opening packet is known to be open.
+bool is_known_to_be_open(const contested_flow_list& list, const flow_key& key,
+                         std::uint32_t opening_sequence, millis max_age, millis now);
+
 // The tag of the backend server at which a flow is open, for a packet with this sequence number; no
 // value if the flow isn't known to be contested, or older than `max_age`.
 std::optional<std::uint32_t> find_contested_tag(const contested_flow_list& list,
--- a/src/tagged/router_openings.cpp
+++ b/src/tagged/router_openings.cpp
@@ -320,6 +320,12 @@
 packet_decision route_opening(router_state& state, const known_route& known, const flow_key& key,
                               const tagged_packet& packet, millis now)
 {
+    if (is_known_to_be_open(state.contested, key, packet.sequence, state.settings.max_flow_age,
+                            now))
+    {
+        // A copy that the network has delayed.
+        return decide(packet_verdict::drop, verdict_reason::overtaken);
+    }
     remembered_flow* flow = find_flow(state, key);
     const bool is_retransmission = flow != nullptr && flow->backend != no_backend &&
                                    flow->stage != flow_stage::closed &&
--- a/src/testing/hazards_test.cpp
+++ b/src/testing/hazards_test.cpp
@@ -247,7 +247,12 @@
     CHECK(late.router.contested.flows.empty());
     router_fixture reused;
     handle_contested_flows(reused.router, actions.contested, reused.now);
-    reused.route(opening);
+    // A copy of the opening packet that comes late opens nothing.
+    CHECK(reused.route(opening).reason == verdict_reason::overtaken);
+    CHECK(reused.router.contested.flows.size() == 1);
+    opening.sequence += 77'000;
+    opening.retransmissions = 0;
+    CHECK(reused.route(opening).reason == verdict_reason::placed);
     CHECK(reused.router.contested.flows.empty());
 }
 
