review: a planned restart breaks flows whose addresses an earlier flow had

Cause: daemons keep where a flow with two answers was open for 60 s, also when it has ended, and trust that more than the tag of a later flow's packets.

--- a/review/standin-2/stand_in.hpp
+++ b/review/standin-2/stand_in.hpp
@@ -452,6 +452,7 @@
         bool is_closed = false;
         std::uint32_t own_seq = 0;
         std::uint32_t expected = 0;
+        std::uint32_t first_expected = 0;
         std::uint32_t echo = 0;
         // The last packet that the caller has to acknowledge, and its retransmission.
         std::string unacknowledged;
@@ -729,12 +730,21 @@
 
     void receive_opening(const packet_header& h, const flow_id& id, std::uint32_t daemon_ip)
     {
+        const auto known = this->flows.find(id);
+        const bool is_reused = known != this->flows.end() && known->second.expected != h.seq + 1 &&
+                               known->second.first_expected != h.seq + 1;
+        if (is_reused)
+        {
+            // The caller uses the port for another flow.
+            this->flows.erase(known);
+        }
         auto [entry, is_new] = this->flows.try_emplace(id);
         flow& f = entry->second;
         if (is_new)
         {
             f.own_seq = static_cast<std::uint32_t>(this->random());
             f.expected = h.seq + 1;
+            f.first_expected = f.expected;
             if (this->on_opening)
             {
                 this->on_opening(*this, id, daemon_ip);
@@ -1161,16 +1171,18 @@
         return this->packets >= 0;
     }
 
+    // Without a port, the flow gets one that no other has had.
     caller_flow& open(const std::string& zone, const std::string& label, std::uint32_t dst,
-                      std::uint16_t dport, const std::vector<milliseconds>& request_times)
+                      std::uint16_t dport, const std::vector<milliseconds>& request_times,
+                      std::uint16_t port = 0)
     {
         auto f = std::make_shared<caller_flow>();
-        f->id = {this->ip, this->next_port++, dst, dport};
+        f->id = {this->ip, port != 0 ? port : this->next_port++, dst, dport};
         f->zone = zone;
         f->label = label;
         f->request_times = request_times;
         f->begun = now_ms();
-        f->own_seq = static_cast<std::uint32_t>(this->random());
+        f->own_seq = this->initial_sequence(f->id);
         this->flows[f->id] = f;
         this->send_opening(*f);
         return *f;
@@ -1208,6 +1220,16 @@
     std::uint64_t answered = 0;
 
 private:
+    // As RFC 6528 has it: a number of the addresses and ports, and a clock that ticks every 4
+    // microseconds.
+    std::uint32_t initial_sequence(const flow_id& id)
+    {
+        constexpr std::uint32_t ticks_per_ms = 250;
+        const auto [base, is_new] =
+            this->sequence_bases.try_emplace(id, static_cast<std::uint32_t>(this->random()));
+        return base->second + static_cast<std::uint32_t>(now_ms()) * ticks_per_ms;
+    }
+
     void send_packet(const caller_flow& f, std::uint8_t flags, std::uint32_t seq, std::uint32_t ack,
                      const std::string& data)
     {
@@ -1363,6 +1385,7 @@
     platform& routers;
     std::mt19937_64& random;
     std::uint32_t ip;
+    std::map<flow_id, std::uint32_t> sequence_bases;
     std::uint16_t next_port = 20'000;
     int packets;
 };
@@ -1440,7 +1463,7 @@
         for (const auto& s : this->servers)
         {
             const server::flow* f = s->find(id);
-            if (f != nullptr && f->is_open)
+            if (f != nullptr && f->is_open && !f->is_closed)
             {
                 return s.get();
             }
