--- a/review/standin-2/stand_in.hpp
+++ b/review/standin-2/stand_in.hpp
@@ -1527,14 +1527,16 @@
 };
 
 // A configuration with one route at port 8443.
-inline std::string make_configuration(std::uint32_t route_ip, const std::string& service)
+inline std::string make_configuration(std::uint32_t route_ip, const std::string& service,
+                                      milliseconds idle_timeout = 15'000)
 {
     return "{\"Version\":3,\"Routes\":[{\"Name\":\"r-1\",\"Host\":\"" + ip_text(route_ip) +
            "\",\"Prefix\":\"/8443/\",\"Type\":\"unsafe\",\"TimeoutMs\":4000,\"SloMs\":150,"
            "\"Priority\":1,\"Service\":\"" +
            service + "\",\"MaxAttempts\":2}],\"Services\":[{\"Name\":\"" + service +
            "\",\"HealthPath\":\"/health\",\"MaxFlows\":2000,\"Protocol\":\"h1\",\"Tls\":false}],"
-           "\"Limits\":{\"IdleTimeoutMs\":15000}}";
+           "\"Limits\":{\"IdleTimeoutMs\":" +
+           std::to_string(idle_timeout) + "}}";
 }
 
 // Arguments of a case: ROOT FOLDER RECORD TROUBLE SEED.
