--- a/review/standin-2/two_answers.hpp
+++ b/review/standin-2/two_answers.hpp
@@ -27,7 +27,7 @@
 constexpr milliseconds full_for = 400;
 // Long flows begin at this gap, and more often around full_at.
 constexpr milliseconds long_flow_gap = 100;
-constexpr milliseconds busy_long_flow_gap = 5;
+constexpr milliseconds busy_long_flow_gap = 2;
 constexpr milliseconds busy_duration = 500;
 constexpr milliseconds short_flow_gap = 20;
 
