--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,5 +1,6 @@
 // The only daemon of a zone is restarted as planned. Meanwhile routers send the zone's flows to the
-// daemons of the nearest zones, of which only two have been told where flows with two answers are open.
+// daemons of the nearest zones, of which only two have been told where flows with two answers are
+// open.
 #include "../standin-2/two_answers.hpp"
 
 using namespace review;
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,5 +1,5 @@
-// All daemons are killed at the same moment and start again. Some seconds later, when all are in touch
-// again, callers go on with flows that were open meanwhile.
+// All daemons are killed at the same moment and start again. Some seconds later, when all are in
+// touch again, callers go on with flows that were open meanwhile.
 #include "../standin-2/two_answers.hpp"
 
 using namespace review;
--- a/review/standin-2/two_answers.hpp
+++ b/review/standin-2/two_answers.hpp
@@ -1,7 +1,7 @@
-// A small deployment in which some flows get two SYN+ACKs: the links of a zone's servers are full for
-// a moment, so that a copy of a SYN goes to a second server, which opens the flow. The first server
-// repeats its SYN+ACK for 9.4 s, as the pages have it, and each time the caller's newest `echo` is that
-// of the first server again. A disruption follows when all are in touch again.
+// A small deployment in which some flows get two SYN+ACKs: the links of a zone's servers are full
+// for a moment, so that a copy of a SYN goes to a second server, which opens the flow. The first
+// server repeats its SYN+ACK for 9.4 s, as the pages have it, and each time the caller's newest
+// `echo` is that of the first server again. A disruption follows when all are in touch again.
 #ifndef BRIARBARROW_REVIEW_TWO_ANSWERS_HPP
 #define BRIARBARROW_REVIEW_TWO_ANSWERS_HPP
 
@@ -57,8 +57,9 @@
         const std::string sender = from != nullptr          ? "server " + from->name
                                    : from_daemon != nullptr ? "daemon " + from_daemon->name
                                                             : "unknown";
-        w.record.line("caller: flow %u (%s) gets a reset from %s; the flow is open at %s", f.id.sport,
-                      f.label.c_str(), sender.c_str(), at == nullptr ? "no server" : at->name.c_str());
+        w.record.line("caller: flow %u (%s) gets a reset from %s; the flow is open at %s",
+                      f.id.sport, f.label.c_str(), sender.c_str(),
+                      at == nullptr ? "no server" : at->name.c_str());
         if (at != nullptr && at != from && now_ms() >= plan.in_touch_at)
         {
             ++broken;
@@ -101,7 +102,8 @@
         if (wants_full != is_full)
         {
             is_full = wants_full;
-            w.record.line("network: the links of the servers of z2 are %s", is_full ? "full" : "free");
+            w.record.line("network: the links of the servers of z2 are %s",
+                          is_full ? "full" : "free");
             for (const auto& s : w.servers)
             {
                 s->is_link_full = is_full && s->zone == "z2";
