--- a/review/standin-2/stand_in.hpp
+++ b/review/standin-2/stand_in.hpp
@@ -150,7 +150,7 @@
 class recorder
 {
 public:
-    explicit recorder(const std::string& path) : file(std::fopen(path.c_str(), "w")) {}
+    explicit recorder(const std::string& path) : file(std::fopen(path.c_str(), "we")) {}
     ~recorder()
     {
         if (this->file != nullptr)
