--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -20,6 +20,18 @@
 
 constexpr std::size_t receive_bytes = 16'384;
 
+std::string format_request(const http_request& request, const endpoint& server)
+{
+    std::string text =
+        request.method + " " + request.target + " HTTP/1.1\r\nHost: " + to_string(server) + "\r\n";
+    if (request.method != "GET")
+    {
+        text += "Content-Type: application/json\r\nContent-Length: " +
+                std::to_string(request.body.size()) + "\r\n";
+    }
+    return text + "\r\n" + request.body;
+}
+
 } // namespace
 
 http_channel::http_channel(const endpoint& server) : server(server) {}
@@ -43,13 +55,18 @@
 }
 
 void http_channel::get(const std::string& target, millis timeout, http_receiver receiver)
+{
+    this->send({"GET", target, ""}, timeout, std::move(receiver));
+}
+
+void http_channel::send(const http_request& request, millis timeout, http_receiver receiver)
 {
     this->receiver = std::move(receiver);
     this->is_request_pending = true;
     this->is_complete = false;
     this->headers = http_headers{};
     this->body.clear();
-    this->unsent = "GET " + target + " HTTP/1.1\r\nHost: " + to_string(this->server) + "\r\n\r\n";
+    this->unsent = format_request(request, this->server);
     if (this->has_unread_bytes())
     {
         this->close_connection();
@@ -152,7 +169,7 @@
 void http_channel::send_unsent()
 {
     const ssize_t sent =
-        send(this->descriptor, this->unsent.data(), this->unsent.size(), MSG_NOSIGNAL);
+        ::send(this->descriptor, this->unsent.data(), this->unsent.size(), MSG_NOSIGNAL);
     if (sent < 0)
     {
         if (errno != EAGAIN)
--- a/src/net/http_channel.hpp
+++ b/src/net/http_channel.hpp
@@ -32,6 +32,14 @@
     std::string failure;
 };
 
+// A request to send. A body is taken for JSON.
+struct http_request
+{
+    std::string method = "GET";
+    std::string target;
+    std::string body;
+};
+
 using http_receiver = std::function<void(const http_reply&)>;
 
 // Connects when a request needs it, and closes the connection when a response is late or malformed,
@@ -45,7 +53,8 @@
     http_channel(const http_channel&) = delete;
     http_channel& operator=(const http_channel&) = delete;
 
-    // Sends a GET request and passes the result to the receiver. No other request may be pending.
+    // Sends a request and passes the result to the receiver. No other request may be pending.
+    void send(const http_request& request, millis timeout, http_receiver receiver);
     void get(const std::string& target, millis timeout, http_receiver receiver);
 
     // Sets the server for further requests. Closes the connection if the server differs.
--- a/src/spread/peer_table.cpp
+++ b/src/spread/peer_table.cpp
@@ -1,6 +1,7 @@
 #include "spread/peer_table.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/ids.hpp"
@@ -67,6 +68,8 @@
         return;
     }
     peer_entry& entry = found->second;
+    const std::uint32_t known_version =
+        report.started == entry.report.started ? entry.report.tag_version : 0;
     const bool is_later = report.started > entry.report.started;
     const bool is_newer =
         report.started == entry.report.started && last_received > entry.last_received;
@@ -74,6 +77,8 @@
     {
         entry = peer_entry{report, last_received};
     }
+    // A daemon of an earlier version passes reports on without it.
+    entry.report.tag_version = std::max(entry.report.tag_version, known_version);
 }
 
 void remove_expired(peer_table& table, millis now)
@@ -99,6 +104,7 @@
                       const std::vector<endpoint>& seeds, std::uint64_t seed)
 {
     table.self = self;
+    table.self.tag_version = formed_tag_version;
     table.seeds = seeds;
     table.random = seed;
 }
@@ -276,6 +282,52 @@
     return keepers;
 }
 
+bool all_read_tag_forms(const peer_table& table, millis process_age)
+{
+    if (table.peers.empty())
+    {
+        return process_age > peer_live_timeout;
+    }
+    return std::all_of(table.peers.begin(), table.peers.end(),
+                       [](const auto& entry)
+                       { return entry.second.report.tag_version >= formed_tag_version; });
+}
+
+std::vector<endpoint> pick_knowing_peers(const peer_table& table, std::uint64_t& random,
+                                         std::size_t limit, millis now)
+{
+    const std::vector<const peer_entry*> live = live_peers(table, now);
+    std::set<endpoint> picked;
+    if (live.size() <= limit)
+    {
+        for (const peer_entry* peer : live)
+        {
+            picked.insert(peer->report.address);
+        }
+        return {picked.begin(), picked.end()};
+    }
+    std::set<std::string> zones{table.self.zone};
+    for (const peer_entry* peer : live)
+    {
+        zones.insert(peer->report.zone);
+    }
+    for (const std::string& zone : zones)
+    {
+        for (const endpoint& keeper : keepers_of_zone(table, zone, now))
+        {
+            picked.insert(keeper);
+        }
+    }
+    for (const endpoint& peer : pick_zone_peers(table, random, limit, now))
+    {
+        picked.insert(peer);
+    }
+    std::vector<endpoint> peers(picked.begin(), picked.end());
+    shuffle(peers, random);
+    peers.resize(std::min(peers.size(), limit));
+    return peers;
+}
+
 std::size_t count_in_zone(const peer_table& table, const std::string& zone, millis now)
 {
     std::size_t count = table.self.zone == zone && !table.self.is_leaving ? 1 : 0;
--- a/src/spread/peer_table.hpp
+++ b/src/spread/peer_table.hpp
@@ -1,6 +1,6 @@
-// Peer discovery by gossip, without a registry: each daemon sends a few others a report about
-// itself and reports about some daemons that it has received lately. A daemon without a report
-// newer than `peer_live_timeout` does not count as live.
+// Peer discovery by gossip: each daemon sends a few others a report about itself and reports about
+// some daemons that it has received lately. A daemon without a report newer than
+// `peer_live_timeout` does not count as live.
 //
 // The cost does not grow with the number of daemons: `gossip_fanout` datagrams each
 // `gossip_interval`, each with reports about up to `max_reported_peers` others. Two of three
@@ -35,6 +35,10 @@
 // Maximum number of peers kept: the daemons of a large spray domain.
 constexpr std::size_t max_peers = 1'000;
 
+// The version of tags that a daemon reports: it reads all their forms (tag_form.hpp). Daemons of
+// earlier versions read plain ones only and report 0.
+constexpr std::uint32_t formed_tag_version = 1;
+
 // What a daemon reports about itself.
 struct peer_report
 {
@@ -48,6 +52,7 @@
     millis store_age;
     // Rate at which it places new flows. Unit: flows per second.
     std::uint32_t openings_per_s = 0;
+    std::uint32_t tag_version = 0;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
@@ -151,6 +156,15 @@
 // same ones, as far as they know the same peers.
 std::vector<endpoint> keepers_of_zone(const peer_table& table, const std::string& zone, millis now);
 
+// True when all known daemons read all forms of tags, and none can be unknown any more: there are
+// some, or the process is older than `peer_live_timeout`.
+bool all_read_tag_forms(const peer_table& table, millis process_age);
+
+// Addresses of daemons to ask for something that any may know: all live ones, or else some of the
+// own zone and the keepers of each zone, at most `limit`.
+std::vector<endpoint> pick_knowing_peers(const peer_table& table, std::uint64_t& random,
+                                         std::size_t limit, millis now);
+
 // Number of daemons in a zone that are not leaving, counting this one.
 std::size_t count_in_zone(const peer_table& table, const std::string& zone, millis now);
 
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -38,7 +38,33 @@
 void send_gossip(replica_sync& sync, sync_actions& actions, const outgoing_gossip& gossip)
 {
     ++sync.counts.gossip_sent;
-    send(sync, actions, gossip.to, encode_daemon_message(gossip.message));
+    const auto found = sync.peers.peers.find(gossip.to);
+    const bool is_versioned =
+        found != sync.peers.peers.end() && found->second.report.tag_version > 0;
+    versioned_gossip versioned = add_versions(gossip.message);
+    if (!is_versioned)
+    {
+        // The plain message asks for the reply, and reports the load.
+        versioned.gossip.wants_reply = false;
+        versioned.gossip.load = load_report{};
+    }
+    send(sync, actions, gossip.to, encode_daemon_message(versioned));
+    if (!is_versioned)
+    {
+        send(sync, actions, gossip.to, encode_daemon_message(gossip.message));
+    }
+}
+
+void handle_gossip_message(replica_sync& sync, const gossip_message& gossip, millis now,
+                           sync_actions& actions, sync_updates& updates)
+{
+    sync.peers.self.store_age = replica_age(sync, now);
+    updates.loads.push_back(gossip.load);
+    const std::optional<outgoing_gossip> reply = handle_gossip(sync.peers, gossip, now);
+    if (reply)
+    {
+        send_gossip(sync, actions, *reply);
+    }
 }
 
 void send_change_request(replica_sync& sync, millis now, sync_actions& actions)
@@ -316,13 +342,7 @@
     }
     if (const auto* gossip = std::get_if<gossip_message>(&*message))
     {
-        sync.peers.self.store_age = replica_age(sync, now);
-        updates.loads.push_back(gossip->load);
-        const std::optional<outgoing_gossip> reply = handle_gossip(sync.peers, *gossip, now);
-        if (reply)
-        {
-            send_gossip(sync, actions, *reply);
-        }
+        handle_gossip_message(sync, *gossip, now, actions, updates);
     }
     else if (const auto* request = std::get_if<change_request>(&*message))
     {
@@ -341,6 +361,11 @@
     else if (const auto* contested = std::get_if<contested_flow_report>(&*message))
     {
         updates.contested = contested->flows;
+        updates.contested_sender = from;
+    }
+    else if (const auto* versioned = std::get_if<versioned_gossip>(&*message))
+    {
+        handle_gossip_message(sync, take_versions(*versioned), now, actions, updates);
     }
     else if (std::holds_alternative<contested_flow_request>(*message))
     {
@@ -392,6 +417,31 @@
     sync.counts.contested_omitted += flows.size() - reported;
 }
 
+void ask_for_flows(replica_sync& sync, const std::vector<contested_flow>& questions, millis now,
+                   sync_actions& actions)
+{
+    if (questions.empty())
+    {
+        return;
+    }
+    refill_contested_budget(sync, now);
+    const std::vector<endpoint> recipients =
+        pick_knowing_peers(sync.peers, sync.contested_random, max_flow_question_recipients, now);
+    for (const message_bytes& message : make_contested_reports(questions))
+    {
+        const std::size_t bytes = message.size() * recipients.size();
+        if (bytes > sync.contested_budget)
+        {
+            break;
+        }
+        sync.contested_budget -= bytes;
+        for (const endpoint& recipient : recipients)
+        {
+            send(sync, actions, recipient, message);
+        }
+    }
+}
+
 void send_contested_flows(replica_sync& sync, const endpoint& to,
                           const std::vector<contested_flow>& flows, sync_actions& actions)
 {
--- a/src/spread/replica_sync.hpp
+++ b/src/spread/replica_sync.hpp
@@ -56,6 +56,8 @@
 constexpr std::size_t max_contested_answer_flows = 500;
 // How long it looks for them.
 constexpr millis contested_request_window{10'000};
+// Daemons that are asked where a flow is open.
+constexpr std::size_t max_flow_question_recipients = 40;
 
 // A datagram to another daemon.
 struct outgoing_datagram
@@ -97,8 +99,10 @@
     // Faults of backend servers, and load, that other daemons reported.
     std::vector<fault_report> faults;
     std::vector<load_report> loads;
-    // Contested flows that other daemons reported, and daemons that ask for them.
+    // Contested flows that another daemon reported or asks for, that daemon, and daemons that ask
+    // for all.
     std::vector<contested_flow> contested;
+    std::optional<endpoint> contested_sender;
     std::vector<endpoint> contested_requesters;
 };
 
@@ -175,6 +179,10 @@
 void report_contested_flows(replica_sync& sync, const std::vector<contested_flow>& flows,
                             millis now, sync_actions& actions);
 
+// Asks other daemons where flows are open.
+void ask_for_flows(replica_sync& sync, const std::vector<contested_flow>& questions, millis now,
+                   sync_actions& actions);
+
 // Answers a daemon that asks for contested flows.
 void send_contested_flows(replica_sync& sync, const endpoint& to,
                           const std::vector<contested_flow>& flows, sync_actions& actions);
--- a/src/spread/spread_messages.cpp
+++ b/src/spread/spread_messages.cpp
@@ -1,5 +1,7 @@
 #include "spread/spread_messages.hpp"
 
+#include <algorithm>
+
 #include "wire/message_codec.hpp"
 
 MSGPACK_ADD_ENUM(briarbarrow::backend_fault);
@@ -17,6 +19,8 @@
 BRIARBARROW_PACK_MEMBERS(briarbarrow::reported_pace, v.service, v.tag, v.weight, v.log_ratio)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::load_report, v.backends)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::gossip_message, v.sender, v.others, v.load, v.wants_reply)
+BRIARBARROW_PACK_MEMBERS(briarbarrow::versioned_gossip, v.gossip, v.tag_version,
+                         v.other_tag_versions)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::store_position, v.era, v.revision)
 BRIARBARROW_PACK_MEMBERS(briarbarrow::change_cursor, v.position, v.ahead_position,
                          v.partial_position, v.partial_bytes)
@@ -58,6 +62,28 @@
 
 } // namespace
 
+versioned_gossip add_versions(const gossip_message& gossip)
+{
+    versioned_gossip message{gossip, gossip.sender.tag_version, {}};
+    for (const reported_peer& other : gossip.others)
+    {
+        message.other_tag_versions.push_back(other.report.tag_version);
+    }
+    return message;
+}
+
+gossip_message take_versions(const versioned_gossip& message)
+{
+    gossip_message gossip = message.gossip;
+    gossip.sender.tag_version = message.tag_version;
+    const std::size_t count = std::min(gossip.others.size(), message.other_tag_versions.size());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        gossip.others[i].report.tag_version = message.other_tag_versions[i];
+    }
+    return gossip;
+}
+
 message_bytes encode_daemon_message(const daemon_message& message)
 {
     message_bytes bytes =
@@ -88,6 +114,8 @@
         return decode_as<contested_flow_report>(body);
     case 5:
         return decode_as<contested_flow_request>(body);
+    case 6:
+        return decode_as<versioned_gossip>(body);
     default:
         return std::nullopt;
     }
--- a/src/spread/spread_messages.hpp
+++ b/src/spread/spread_messages.hpp
@@ -38,8 +38,26 @@
     friend bool operator==(const fault_report&, const fault_report&) = default;
 };
 
-using daemon_message = std::variant<gossip_message, change_request, change_response, fault_report,
-                                    contested_flow_report, contested_flow_request>;
+// A gossip message with what daemons of earlier versions don't know. They reject it, so it is sent
+// beside the plain one to a daemon whose version isn't known yet.
+struct versioned_gossip
+{
+    gossip_message gossip;
+    // Of the sender and of each of the others.
+    std::uint32_t tag_version = 0;
+    std::vector<std::uint32_t> other_tag_versions;
+
+    friend bool operator==(const versioned_gossip&, const versioned_gossip&) = default;
+};
+
+versioned_gossip add_versions(const gossip_message& gossip);
+
+// The gossip message with the versions in its reports. Missing ones are left at 0.
+gossip_message take_versions(const versioned_gossip& message);
+
+using daemon_message =
+    std::variant<gossip_message, change_request, change_response, fault_report,
+                 contested_flow_report, contested_flow_request, versioned_gossip>;
 
 message_bytes encode_daemon_message(const daemon_message& message);
 
--- a/src/tagged/backend_directory.cpp
+++ b/src/tagged/backend_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "tagged/tag_form.hpp"
 #include "tagged/tagged_packet.hpp"
 
 namespace briarbarrow
@@ -12,7 +13,7 @@
 
 std::uint64_t tag_key(service_id service, std::uint32_t tag)
 {
-    return mix(static_cast<std::uint64_t>(service), tag);
+    return mix(static_cast<std::uint64_t>(service), tag & tag_identity_mask);
 }
 
 void remove_from_indexes(backend_directory& directory, backend_index index)
@@ -185,15 +186,23 @@
 std::optional<backend_index> find_by_tag(const backend_directory& directory, service_id service,
                                          std::uint32_t tag)
 {
-    const auto found = directory.by_tag.find(tag_key(service, tag));
+    const std::optional<backend_index> found =
+        find_by_tag_identity(directory, service, tag & tag_identity_mask);
+    return found && directory.entries[*found].tag == tag ? found : std::nullopt;
+}
+
+std::optional<backend_index> find_by_tag_identity(const backend_directory& directory,
+                                                  service_id service, std::uint32_t identity)
+{
+    const auto found = directory.by_tag.find(tag_key(service, identity));
     if (found == directory.by_tag.end())
     {
         return std::nullopt;
     }
-    // The map's key is a hash of service and tag, so the entry may belong to another pair.
+    // The map's key is a hash of service and identity, so the entry may belong to another pair.
     const known_backend& entry = directory.entries[found->second];
-    return entry.service == service && entry.tag == tag ? std::optional(found->second)
-                                                        : std::nullopt;
+    const bool is_match = entry.service == service && (entry.tag & tag_identity_mask) == identity;
+    return is_match ? std::optional(found->second) : std::nullopt;
 }
 
 const std::vector<backend_index>& backends_of(const backend_directory& directory,
--- a/src/tagged/backend_directory.hpp
+++ b/src/tagged/backend_directory.hpp
@@ -3,8 +3,9 @@
 //
 // A tag is the 32-bit hash of a backend server's name, so that all daemons agree on it without
 // communication. It is looked up only within a service: a tag of another service, or one that a
-// caller made up, matches nothing. If two names of a service have the same tag, the
-// lexicographically smaller one owns it and the other gets no flows.
+// caller made up, matches nothing. Packets carry it in several forms (tag_form.hpp), which have its
+// identity in common. If two names of a service have the same one, the lexicographically smaller
+// name owns it and the other gets no flows.
 //
 // A draining backend server gets no new flows as soon as its entry says so, and none any more in
 // this incarnation: the store may come back from a copy with an older entry. An entry that
@@ -125,7 +126,7 @@
     // Free indices in `entries`.
     std::vector<backend_index> unused;
     std::unordered_map<std::string, backend_index> by_name;
-    // By service and tag.
+    // By service and identity of the tag.
     std::unordered_map<std::uint64_t, backend_index> by_tag;
     std::unordered_map<service_id, std::vector<backend_index>> by_service;
     evacuated_zones evacuated;
@@ -165,9 +166,11 @@
 // flow is assigned to.
 void forget_unlisted(backend_directory& directory, millis now);
 
-// The backend server of a service with this tag.
+// The backend server of a service with this plain tag, and the one with this identity.
 std::optional<backend_index> find_by_tag(const backend_directory& directory, service_id service,
                                          std::uint32_t tag);
+std::optional<backend_index> find_by_tag_identity(const backend_directory& directory,
+                                                  service_id service, std::uint32_t identity);
 
 // The backend servers of a service, in the order in which they became known.
 const std::vector<backend_index>& backends_of(const backend_directory& directory,
--- a/src/tagged/contested_flows.cpp
+++ b/src/tagged/contested_flows.cpp
@@ -37,33 +37,29 @@
     }
 }
 
-void remove_contested_flow(contested_flow_list& list, const flow_key& key)
+bool remove_contested_flow(contested_flow_list& list, const flow_key& key)
 {
-    if (list.flows.erase(key) > 0)
+    if (list.flows.erase(key) == 0)
     {
-        std::erase(list.order, key);
+        return false;
     }
+    std::erase(list.order, key);
+    return true;
 }
 
 bool is_known_to_be_open(const contested_flow_list& list, const flow_key& key,
                          std::uint32_t opening_sequence, millis max_age, millis now)
 {
-    const auto found = list.flows.find(key);
-    return found != list.flows.end() && now <= found->second.opened + max_age &&
-           opening_sequence == found->second.opening_sequence;
+    const known_contested_flow* known = find_contested_flow(list, key, max_age, now);
+    return known != nullptr && opening_sequence == known->opening_sequence;
 }
 
-std::optional<std::uint32_t> find_contested_tag(const contested_flow_list& list,
-                                                const flow_key& key, std::uint32_t sequence,
-                                                millis max_age, millis now)
+const known_contested_flow* find_contested_flow(const contested_flow_list& list,
+                                                const flow_key& key, millis max_age, millis now)
 {
     const auto found = list.flows.find(key);
-    if (found == list.flows.end() || now > found->second.opened + max_age ||
-        !is_of_flow(sequence, found->second.opening_sequence))
-    {
-        return std::nullopt;
-    }
-    return found->second.tag;
+    return found != list.flows.end() && now <= found->second.opened + max_age ? &found->second
+                                                                              : nullptr;
 }
 
 void expire_contested_flows(contested_flow_list& list, millis max_age, millis now)
--- a/src/tagged/contested_flows.hpp
+++ b/src/tagged/contested_flows.hpp
@@ -2,8 +2,9 @@
 // it has received. When its opening packet has reached two backend servers, that may be the tag of
 // the one that answered second: it was paused, or its answer was lost and repeated. A daemon that
 // has seen the flow open knows better, but its memory ends with its process, and a change of the
-// rotation takes the flow to other daemons. So daemons report such flows to each other, and a
-// daemon that starts asks for them. They are rare.
+// rotation takes the flow to other daemons. So daemons report such flows to each other, a daemon
+// that starts asks for them, and they are recorded in the store for as long as a flow may live.
+// They are rare.
 #ifndef BRIARBARROW_TAGGED_CONTESTED_FLOWS_HPP
 #define BRIARBARROW_TAGGED_CONTESTED_FLOWS_HPP
 
@@ -46,18 +47,17 @@
 // Adds a flow, or replaces an older one with the same addresses.
 void add_contested_flow(contested_flow_list& list, const contested_flow& flow, millis now);
 
-// Removes a flow, since its addresses are used again.
-void remove_contested_flow(contested_flow_list& list, const flow_key& key);
+// Removes a flow, since its addresses are used again. False when it wasn't in the list.
+bool remove_contested_flow(contested_flow_list& list, const flow_key& key);
 
 // True when a flow with this opening packet is known to be open.
 bool is_known_to_be_open(const contested_flow_list& list, const flow_key& key,
                          std::uint32_t opening_sequence, millis max_age, millis now);
 
-// The tag of the backend server at which a flow is open, for a packet with this sequence number; no
-// value if the flow isn't known to be contested, or older than `max_age`.
-std::optional<std::uint32_t> find_contested_tag(const contested_flow_list& list,
-                                                const flow_key& key, std::uint32_t sequence,
-                                                millis max_age, millis now);
+// The entry for a flow's addresses, which may be that of an earlier flow; null if there is none, or
+// if its flow is older than `max_age`.
+const known_contested_flow* find_contested_flow(const contested_flow_list& list,
+                                                const flow_key& key, millis max_age, millis now);
 
 // Removes flows that are older than `max_age`.
 void expire_contested_flows(contested_flow_list& list, millis max_age, millis now);
--- a/src/tagged/router_openings.cpp
+++ b/src/tagged/router_openings.cpp
@@ -205,7 +205,7 @@
 
 // Places a new flow, or refuses it.
 packet_decision place_new_flow(router_state& state, const known_route& known, const flow_key& key,
-                               const tagged_packet& packet, millis now)
+                               const tagged_packet& packet, bool replaces_contested, millis now)
 {
     ++state.openings_in_interval;
     const placement_request request = make_placement_request(state, known, key, no_backend, now);
@@ -243,8 +243,9 @@
     opened_at.kind = known.current.kind;
     opened_at.timeout = known.current.timeout;
     opened_at.opening_sequence = packet.sequence;
-    // The copies before this one went through another daemon, or were lost.
-    opened_at.is_contested = packet.retransmissions > 0;
+    // The copies before this one went through another daemon, or were lost. Other daemons take the
+    // flow for the contested one that had its addresses before, unless they are told otherwise.
+    opened_at.is_contested = packet.retransmissions > 0 || replaces_contested;
     opened_at.data_end = packet.sequence + 1;
     opened_at.first_seen = now;
     opened_at.last_packet = now;
@@ -339,8 +340,8 @@
         return decide_forward(*flow, verdict_reason::tuple_in_use);
     }
     forget_flow(state, key);
-    remove_contested_flow(state.contested, key);
-    return place_new_flow(state, known, key, packet, now);
+    const bool replaces_contested = remove_contested_flow(state.contested, key);
+    return place_new_flow(state, known, key, packet, replaces_contested, now);
 }
 
 } // namespace briarbarrow
--- a/src/tagged/router_parts.hpp
+++ b/src/tagged/router_parts.hpp
@@ -1,7 +1,7 @@
 // Internal functions shared by the router's source files: packets (tag_router.cpp), opening
-// packets (router_openings.cpp), ticks (router_upkeep.cpp), lists and reports (router_lists.cpp),
-// contested flows (router_contested.cpp), and what daemons tell each other about load
-// (load_sharing.cpp).
+// packets (router_openings.cpp), where flows are open (router_locations.cpp), ticks
+// (router_upkeep.cpp), lists and reports (router_lists.cpp), contested flows
+// (router_contested.cpp), and what daemons tell each other about load (load_sharing.cpp).
 #ifndef BRIARBARROW_TAGGED_ROUTER_PARTS_HPP
 #define BRIARBARROW_TAGGED_ROUTER_PARTS_HPP
 
@@ -62,6 +62,46 @@
 packet_decision decide_forward(const remembered_flow& flow, verdict_reason reason);
 packet_decision decide_reset(const tagged_packet& packet, verdict_reason reason);
 
+// What a packet's tag says about its flow.
+struct tag_claim
+{
+    tag_form form = tag_form::plain;
+    // The backend server that it names; none if it names no known one of the route's services.
+    std::optional<backend_index> backend;
+    // Of the tag of an opening packet, if this packet may begin the caller's stream: the sequence
+    // number of the opening packet.
+    std::optional<std::uint32_t> opening_sequence;
+};
+
+tag_claim read_claim(const router_state& state, const known_route& known,
+                     const tagged_packet& packet);
+
+// How a packet relates to the remembered flow with its addresses.
+enum class flow_relation : std::uint8_t
+{
+    of_flow,
+    // Delayed by the network: the addresses have been used again since.
+    of_earlier_flow,
+    of_later_flow
+};
+
+flow_relation relate_to_flow(const router_state& state, const known_route& known,
+                             const remembered_flow& flow, const tagged_packet& packet,
+                             const tag_claim& claim, millis now);
+
+// Where a flow is open, as far as its tag and the list of contested flows show.
+struct flow_location
+{
+    std::optional<backend_index> backend;
+    // The list shows it, whatever the tag says.
+    bool is_contested = false;
+    // What has to be looked up for a flow that this daemon doesn't remember.
+    std::optional<lookup_need> doubt;
+};
+
+flow_location locate_flow(const router_state& state, const known_route& known, const flow_key& key,
+                          const tagged_packet& packet, const tag_claim& claim, millis now);
+
 // True when an opening packet has waited at this host until its caller sent the next copy or gave
 // up.
 bool is_obsolete(const tagged_packet& packet);
--- a/src/tagged/router_upkeep.cpp
+++ b/src/tagged/router_upkeep.cpp
@@ -484,6 +484,7 @@
     end_demotions(state, now);
     reset_stalled_flows(state, now, actions);
     review_flows(state, now);
+    expire_lookups(state.lookups, now);
     decay_statistics(state, now);
 }
 
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -66,25 +66,6 @@
     backend_lifetime_ms += backend_smoothing * (lifetime_ms - backend_lifetime_ms);
 }
 
-// Finds the backend server that a packet's tag names among those of its route's services.
-std::optional<backend_index> find_tagged_backend(const router_state& state,
-                                                 const known_route& known, std::uint32_t tag)
-{
-    if (tag == no_tag)
-    {
-        return std::nullopt;
-    }
-    for (const service_id service : known.allowed)
-    {
-        const std::optional<backend_index> found = find_by_tag(state.backends, service, tag);
-        if (found)
-        {
-            return found;
-        }
-    }
-    return std::nullopt;
-}
-
 // Remembers a flow whose opening packet this daemon did not see.
 remembered_flow* remember_unseen_flow(router_state& state, const known_route& known,
                                       const flow_key& key, const tagged_packet& packet, millis now)
@@ -257,48 +238,90 @@
     return decision;
 }
 
+// Forwards a packet of a flow that can't be remembered.
+packet_decision route_unremembered(const router_state& state, std::optional<backend_index> backend)
+{
+    packet_decision decision = decide(packet_verdict::drop, verdict_reason::tag_not_known);
+    if (backend)
+    {
+        decision = decide(packet_verdict::forward, verdict_reason::tagged);
+        decision.backend = *backend;
+        decision.tag = state.backends.entries[*backend].tag;
+    }
+    return decision;
+}
+
+// Decides about a packet whose tag doesn't show where its flow is open. Returns nothing if the
+// packet follows its tag.
+std::optional<packet_decision> route_doubtful(router_state& state, const flow_key& key,
+                                              const tagged_packet& packet, const tag_claim& claim,
+                                              lookup_need need, millis now)
+{
+    if (need == lookup_need::confirmation && state.flows.flows.size() >= max_remembered_flows)
+    {
+        // The answer would have to be asked for again with each packet.
+        return std::nullopt;
+    }
+    const std::uint32_t sequence = claim.opening_sequence.value_or(packet.sequence);
+    if (look_up(state.lookups, key, need, sequence, now) == lookup_verdict::hold)
+    {
+        return decide(packet_verdict::hold, verdict_reason::looked_up);
+    }
+    return need == lookup_need::confirmation
+               ? std::nullopt
+               : std::optional(decide(packet_verdict::drop, verdict_reason::location_not_known));
+}
+
 // Routes a packet that is not an opening packet.
 packet_decision route_subsequent(router_state& state, const known_route& known, const flow_key& key,
                                  const tagged_packet& packet, millis now)
 {
-    const std::optional<std::uint32_t> contested_tag =
-        find_contested_tag(state.contested, key, packet.sequence, state.settings.max_flow_age, now);
-    const std::uint32_t tag = contested_tag.value_or(packet.tag);
-    const std::optional<backend_index> tagged = find_tagged_backend(state, known, tag);
+    const tag_claim claim = read_claim(state, known, packet);
+    const flow_location location = locate_flow(state, known, key, packet, claim, now);
     remembered_flow* flow = find_flow(state, key);
-    const bool is_other_flow =
-        flow != nullptr && flow->stage == flow_stage::closed && tagged && *tagged != flow->backend;
-    if (is_other_flow)
+    const flow_relation relation = flow == nullptr
+                                       ? flow_relation::of_flow
+                                       : relate_to_flow(state, known, *flow, packet, claim, now);
+    if (relation == flow_relation::of_earlier_flow)
+    {
+        return route_unremembered(state, location.backend);
+    }
+    if (relation == flow_relation::of_later_flow)
     {
         forget_flow(state, key);
         flow = nullptr;
     }
+    // A flow that has gone on elsewhere isn't opening here.
+    const bool has_opened_elsewhere = flow != nullptr && flow->stage == flow_stage::opening &&
+                                      location.doubt == lookup_need::location;
+    if (location.doubt && (has_opened_elsewhere || flow == nullptr))
+    {
+        const std::optional<packet_decision> decision =
+            route_doubtful(state, key, packet, claim, *location.doubt, now);
+        if (decision)
+        {
+            return *decision;
+        }
+    }
     verdict_reason reason = verdict_reason::remembered;
     if (flow == nullptr)
     {
-        reason = contested_tag ? verdict_reason::contested : verdict_reason::tagged;
+        reason = location.is_contested ? verdict_reason::contested : verdict_reason::tagged;
         flow = remember_unseen_flow(state, known, key, packet, now);
     }
     if (flow == nullptr)
     {
-        packet_decision decision = decide(packet_verdict::drop, verdict_reason::tag_not_known);
-        if (tagged)
-        {
-            decision = decide(packet_verdict::forward, verdict_reason::tagged);
-            decision.backend = *tagged;
-            decision.tag = tag;
-        }
-        return decision;
+        return route_unremembered(state, location.backend);
     }
     std::optional<millis> answer_time;
     if (flow->stage == flow_stage::opening)
     {
         answer_time = now - flow->last_packet;
-        open_flow(state, *flow, tagged, packet, now);
+        open_flow(state, *flow, location.backend, packet, now);
     }
-    else if (flow->stage == flow_stage::unknown && tagged)
+    else if (flow->stage == flow_stage::unknown && location.backend)
     {
-        attach_flow(state.backends, *flow, *tagged);
+        attach_flow(state.backends, *flow, *location.backend);
         flow->stage = flow_stage::open;
     }
     packet_decision decision = flow->backend == no_backend
@@ -373,7 +396,12 @@
 packet_decision route_packet(router_state& state, const tagged_packet& packet, millis now)
 {
     notice_pause(state, now);
-    const packet_decision decision = decide_packet(state, packet, now);
+    packet_decision decision = decide_packet(state, packet, now);
+    if (decision.verdict == packet_verdict::forward && state.writes_tag_forms)
+    {
+        decision.tag = packet.opens ? make_opening_tag(decision.tag, packet.sequence)
+                                    : make_open_tag(decision.tag);
+    }
     ++state.reasons[static_cast<std::size_t>(decision.reason)];
     return decision;
 }
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -5,15 +5,17 @@
 //
 //  1. An opening packet is placed on a backend server (placement.hpp) unless the expected wait is
 //     too long (admission.hpp), and the backend server's tag is written into it. Both ends repeat
-//     the tag, so any daemon can forward later packets without having seen the flow.
+//     the tag, so any daemon can forward later packets without having seen the flow. Packets of an
+//     open flow get another form of the tag (tag_form.hpp).
 //  2. A retransmitted opening packet goes to the same backend server if that one has responded to
 //     others since: the packet or its answer was lost. Otherwise it goes to another one.
 //     An opening packet that has waited at this host until its caller sends the next copy is
 //     dropped: the copy may go through another daemon, and only one of them may be answered.
 //  3. A later packet goes to the backend server at which the flow opened, if the flow is
 //     remembered (flow_memory.hpp), or known to be contested (contested_flows.hpp), and otherwise
-//     to the one that its tag names. The tag alone is not enough: a caller repeats the newest tag,
-//     which may be that of a backend server that answered second.
+//     to the one that its tag names, if the tag has the form of an open flow's. With the form of an
+//     opening packet's it may be that of a backend server that answered second, so the flow is
+//     looked up first (flow_lookups.hpp).
 //  4. A packet whose route has been removed, and a flow whose backend server is presumed dead, get
 //     a reset so that the caller can retry at once. While that is uncertain the packet is forwarded
 //     or dropped: a live flow is never reset.
@@ -47,10 +49,12 @@
 #include "tagged/backend_directory.hpp"
 #include "tagged/contested_flows.hpp"
 #include "tagged/fleet_load.hpp"
+#include "tagged/flow_lookups.hpp"
 #include "tagged/flow_memory.hpp"
 #include "tagged/placement.hpp"
 #include "tagged/route_table.hpp"
 #include "tagged/suspicion.hpp"
+#include "tagged/tag_form.hpp"
 #include "tagged/tagged_packet.hpp"
 #include "tagged/wait_estimate.hpp"
 #include "tagged/warm_up_budget.hpp"
@@ -82,15 +86,17 @@
 // another sequence number is a late copy, or for its backend server to judge.
 constexpr millis tuple_reuse_delay{2'000};
 
-// What to do with a packet. `reset` answers it with a reset.
+// What to do with a packet. `reset` answers it with a reset; `hold` keeps it until its flow is no
+// longer looked up, and routes it again then.
 enum class packet_verdict : std::uint8_t
 {
     forward,
     reset,
-    drop
+    drop,
+    hold
 };
 
-constexpr std::array<std::string_view, 3> packet_verdict_names{"forward", "reset", "drop"};
+constexpr std::array<std::string_view, 4> packet_verdict_names{"forward", "reset", "drop", "hold"};
 
 // Why a packet was forwarded, reset or dropped. Packets are counted by reason.
 enum class verdict_reason : std::uint8_t
@@ -124,15 +130,18 @@
     routes_not_known,
     route_not_fresh,
     tag_not_known,
-    proactive_reset
+    proactive_reset,
+    // Its flow is looked up, and nobody knew where it is open.
+    looked_up,
+    location_not_known
 };
 
-constexpr std::array<std::string_view, 21> verdict_reason_names{
-    "placed",        "placed_again",   "same_again",       "tuple_in_use",    "remembered",
-    "tagged",        "contested",      "no_route",         "no_backend",      "zone_evacuated",
-    "warm_up_limit", "standing_queue", "hopeless_wait",    "deferred",        "overtaken",
-    "dead_backend",  "dead_tag",       "routes_not_known", "route_not_fresh", "tag_not_known",
-    "own_reset"};
+constexpr std::array<std::string_view, 23> verdict_reason_names{
+    "placed",        "placed_again",   "same_again",        "tuple_in_use",    "remembered",
+    "tagged",        "contested",      "no_route",          "no_backend",      "zone_evacuated",
+    "warm_up_limit", "standing_queue", "hopeless_wait",     "deferred",        "overtaken",
+    "dead_backend",  "dead_tag",       "routes_not_known",  "route_not_fresh", "tag_not_known",
+    "own_reset",     "looked_up",      "location_not_known"};
 
 // The decision about one packet.
 struct packet_decision
@@ -271,6 +280,9 @@
     backend_directory backends;
     flow_memory flows;
     contested_flow_list contested;
+    flow_lookups lookups;
+    // Writes tags of all forms, since all other daemons know them.
+    bool writes_tag_forms = false;
     zone_status_list zones;
     // Smoothed lifetime of each service's flows. Unit: milliseconds.
     std::unordered_map<service_id, double> service_ms;
@@ -342,11 +354,18 @@
 // Handles another daemon's report of a failed request.
 void handle_failure_report(router_state& state, const failure_report& report, millis now);
 
-// Handles another daemon's report of contested flows, and returns those that this one knows.
-void handle_contested_flows(router_state& state, const std::vector<contested_flow>& flows,
-                            millis now);
+// Handles another daemon's report of contested flows, and returns the answers to its questions.
+std::vector<contested_flow>
+handle_contested_flows(router_state& state, const std::vector<contested_flow>& flows, millis now);
+
+// The contested flows that this daemon knows.
 std::vector<contested_flow> known_contested_flows(const router_state& state, millis now);
 
+// Handles the store's answer about a flow that is looked up; `recorded` is what it holds, if
+// anything.
+void handle_lookup_result(router_state& state, const flow_key& key, lookup_outcome outcome,
+                          const std::optional<contested_flow>& recorded, millis now);
+
 // Makes the report about load for the other daemons, and handles one of another daemon.
 load_report make_load_report(const router_state& state, millis now);
 void handle_load_report(router_state& state, const load_report& report, millis now);
--- a/src/tagged/tagged_packet.hpp
+++ b/src/tagged/tagged_packet.hpp
@@ -16,6 +16,11 @@
 // The tag of a packet that has not been tagged yet.
 constexpr std::uint32_t no_tag = 0;
 
+// Largest payload of a packet. Unit: bytes.
+constexpr std::uint32_t max_packet_payload = 1'200;
+// Packets that an end of a flow sends without an acknowledgement.
+constexpr std::uint32_t max_packets_in_flight = 16;
+
 // Time from each transmission of an opening packet to the caller's next one. Unit: milliseconds.
 constexpr std::array<std::uint32_t, 2> opening_retransmission_ms{200, 400};
 // Time from the last transmission of an opening packet until the caller gives up.
--- /dev/null
+++ b/src/testing/contested_flows_test.cpp
@@ -0,0 +1,77 @@
+// Flows whose opening packet two backend servers have answered. The one that lost repeats its
+// answer for seconds, and an idle caller repeats the tag of the newest answer. Whoever gets such a
+// flow's next packet has to know where it is open, whichever daemons have been restarted, killed or
+// added since.
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "testing/idle_flow_fleet.hpp"
+
+using namespace briarbarrow;
+
+namespace
+{
+
+// Flows open around a time at which links are full: of their opening packets two backend servers
+// have an answer.
+constexpr std::int64_t full_at = 4'000;
+
+idle_flow_options make_options(std::uint64_t seed)
+{
+    idle_flow_options options;
+    options.seed = seed;
+    options.backends = 60;
+    options.flows = 900;
+    options.opening_interval_ms = 4;
+    options.requests = 4;
+    options.think_ms = 2'500;
+    return options;
+}
+
+void fill_links(idle_flow_options& options, std::size_t links, std::int64_t begin,
+                std::int64_t duration_ms)
+{
+    for (std::size_t i = 0; i < links; ++i)
+    {
+        options.full_links.push_back({i, begin, begin + duration_ms});
+    }
+}
+
+idle_flow_report check_flows(const idle_flow_options& options)
+{
+    const idle_flow_report report = run_idle_flows(options);
+    CHECK(report.broken_in_touch == 0);
+    CHECK(report.answered_twice > 0);
+    CHECK(report.opened > options.flows / 2);
+    return report;
+}
+
+} // namespace
+
+// Daemons of other zones got the flows of a zone whose only daemon was restarted, and had not been
+// told where they are open.
+TEST_CASE("contested flows: the planned restart of a zone's only daemon breaks none")
+{
+    for (const std::int64_t duration_ms : {250, 400, 700})
+    {
+        for (const std::size_t away_daemons : {3U, 5U, 9U})
+        {
+            for (const std::int64_t restart_after_ms : {500, 2'000, 5'300})
+            {
+                CAPTURE(duration_ms);
+                CAPTURE(away_daemons);
+                CAPTURE(restart_after_ms);
+                idle_flow_options options = make_options(away_daemons);
+                options.daemons = 1;
+                options.away_daemons = away_daemons;
+                fill_links(options, 25, full_at, duration_ms);
+                const std::int64_t at = full_at + duration_ms + restart_after_ms;
+                options.restarts = {{0, at, at + 2'200}};
+                check_flows(options);
+            }
+        }
+    }
+}
--- a/src/testing/idle_flow_fleet.hpp
+++ b/src/testing/idle_flow_fleet.hpp
@@ -1,7 +1,8 @@
 // Discrete-event simulation of callers that keep flows open with long pauses between requests, and
 // of the daemons and backend servers that their packets reach. It runs the real routers. Daemons
-// and backend servers can be paused, and daemons restarted, at any moment; what arrives at a paused
-// process waits in its socket. Callers and backend servers behave as the users' pages describe.
+// and backend servers can be paused, daemons restarted, killed and added, and links of backend
+// servers be full, at any moment; what arrives at a paused process waits in its socket. Callers,
+// backend servers and the store behave as the users' pages describe.
 #ifndef BRIARBARROW_TESTING_IDLE_FLOW_FLEET_HPP
 #define BRIARBARROW_TESTING_IDLE_FLOW_FLEET_HPP
 
@@ -14,8 +15,7 @@
 
 constexpr std::int64_t stable_window_ms = 4'000;
 
-// A time in which a process is paused or a daemon is restarted. Unit: milliseconds from the start
-// of the run.
+// A time in which something is disturbed. Unit: milliseconds from the start of the run.
 struct process_window
 {
     std::size_t index = 0;
@@ -28,8 +28,9 @@
 {
     std::uint64_t seed = 1;
     std::size_t daemons = 2;
-    // Daemons of other zones that keep the reports of contested flows; numbered after the daemons.
-    std::size_t keepers = 0;
+    // Daemons of other zones, numbered after the daemons. They get the zone's flows while none of
+    // its daemons is in rotation.
+    std::size_t away_daemons = 0;
     std::size_t backends = 8;
     std::size_t flows = 400;
     std::int64_t opening_interval_ms = 20;
@@ -40,10 +41,25 @@
     bool moves_all_flows = false;
     // Backend servers repeat a SYN+ACK that is not acknowledged.
     bool repeats_syn_ack = true;
+    // The caller's ports, each used again by a later flow once the earlier one has ended; 0 gives
+    // each flow a port of its own.
+    std::size_t ports = 0;
+    // Callers begin each flow with the same sequence number.
+    bool repeats_sequence = false;
     std::vector<process_window> paused_daemons;
     std::vector<process_window> paused_backends;
     // A planned stop: not ready from `begin` on, a new process at `end`.
     std::vector<process_window> restarts;
+    // A daemon is killed at `begin`, and a new process starts at `end`.
+    std::vector<process_window> kills;
+    // What these backend servers send is lost.
+    std::vector<process_window> full_links;
+    // The store doesn't answer. The index has no meaning.
+    std::vector<process_window> store_outages;
+    // Daemons that no other daemon knows and that know none, as with stale seeds.
+    std::vector<std::size_t> isolated_daemons;
+    // Daemons that are added at `begin`; the end has no meaning.
+    std::vector<process_window> added_daemons;
 };
 
 // Results of a run.
@@ -54,8 +70,9 @@
     std::uint64_t answers = 0;
     // Open flows whose caller got a reset that the flow's backend server didn't send.
     std::uint64_t broken = 0;
-    // Those of them at which no process that took part had been paused within `stable_window_ms`:
-    // the daemon that took the packet, the flow's backend server, and the sender of the reset.
+    // Those of them at which no process that took part had been disturbed within
+    // `stable_window_ms`, other than by a planned restart: the daemon that took the packet, the
+    // flow's backend server, and the sender of the reset.
     std::uint64_t broken_in_touch = 0;
     // Flows of which two backend servers had answered the opening packet.
     std::uint64_t answered_twice = 0;
--- a/src/testing/paused_hosts_test.cpp
+++ b/src/testing/paused_hosts_test.cpp
@@ -133,7 +133,7 @@
         idle_flow_options options;
         options.seed = seed;
         options.daemons = 2 + random() % 4;
-        options.keepers = 2;
+        options.away_daemons = 2;
         options.flows = 300;
         options.requests = 3;
         options.think_ms = static_cast<std::int64_t>(2'000 + random() % 11'000);
