--- a/src/spread/peer_table.cpp
+++ b/src/spread/peer_table.cpp
@@ -1,7 +1,6 @@
 #include "spread/peer_table.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "core/ids.hpp"
@@ -124,12 +123,14 @@
     {
         (peer.report.zone == table.self.zone ? own_zone : elsewhere).push_back(address);
     }
-    // Seeds reconnect parts of the fleet after a network partition.
-    for (const endpoint& seed : table.seeds)
+    // Seeds and listed daemons reconnect parts of the fleet after a network partition.
+    std::set<endpoint> contacts(table.seeds.begin(), table.seeds.end());
+    contacts.insert(table.listed_daemons.begin(), table.listed_daemons.end());
+    for (const endpoint& contact : contacts)
     {
-        if (seed != table.self.address && table.peers.count(seed) == 0)
+        if (contact != table.self.address && table.peers.count(contact) == 0)
         {
-            elsewhere.push_back(seed);
+            elsewhere.push_back(contact);
         }
     }
     shuffle(own_zone, table.random);
--- a/src/spread/peer_table.hpp
+++ b/src/spread/peer_table.hpp
@@ -1,6 +1,8 @@
 // Peer discovery by gossip: each daemon sends a few others a report about itself and reports about
 // some daemons that it has received lately. A daemon without a report newer than
-// `peer_live_timeout` does not count as live.
+// `peer_live_timeout` does not count as live. The first contacts are the seeds of the settings, and
+// the daemons that follow the store and are listed there: a daemon that knows no other one follows
+// it as well, so groups of daemons that don't know each other find together.
 //
 // The cost does not grow with the number of daemons: `gossip_fanout` datagrams each
 // `gossip_interval`, each with reports about up to `max_reported_peers` others. Two of three
@@ -12,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,8 +103,9 @@
     peer_report self;
     // What this daemon's messages say about load.
     load_report load;
-    // Addresses from the settings, which may be outdated.
+    // Addresses from the settings, which may be outdated, and from the store.
     std::vector<endpoint> seeds;
+    std::set<endpoint> listed_daemons;
     std::map<endpoint, peer_entry> peers;
     // Time of the next gossip messages.
     millis next_round;
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+void update_following(replica_sync& sync, millis now)
+{
+    if (!sync.assigned_role.follows_store)
+    {
+        sync.following_since.reset();
+    }
+    else if (!sync.following_since)
+    {
+        sync.following_since = now;
+    }
+}
+
 void send_change_request(replica_sync& sync, millis now, sync_actions& actions)
 {
     ++sync.counts.requests_sent;
@@ -324,6 +336,7 @@
         request_contested_flows(sync, now, actions);
         sync.assigned_role =
             decide_watcher_role(sync.peers, sync.peers.self.store_age, sync.avoided, now);
+        update_following(sync, now);
     }
     switch_source(sync, can_request_changes(sync) ? sync.assigned_role.source : std::nullopt);
     request_changes_when_due(sync, now, actions);
@@ -442,6 +455,11 @@
     }
 }
 
+bool should_be_listed(const replica_sync& sync, millis now)
+{
+    return sync.following_since && now >= *sync.following_since + listing_delay;
+}
+
 void send_contested_flows(replica_sync& sync, const endpoint& to,
                           const std::vector<contested_flow>& flows, sync_actions& actions)
 {
--- a/src/spread/replica_sync.hpp
+++ b/src/spread/replica_sync.hpp
@@ -58,6 +58,9 @@
 constexpr millis contested_request_window{10'000};
 // Daemons that are asked where a flow is open.
 constexpr std::size_t max_flow_question_recipients = 40;
+// A daemon that has followed the store for this long is listed there: all do at first, until they
+// know each other.
+constexpr millis listing_delay{2'000};
 
 // A datagram to another daemon.
 struct outgoing_datagram
@@ -137,6 +140,8 @@
     millis resumed_at;
     change_requester requester;
     watcher_role assigned_role;
+    // Since when this daemon has followed the store without a break.
+    std::optional<millis> following_since;
     millis next_role_update;
     // The daemon that changes are requested from.
     std::optional<endpoint> source;
@@ -183,6 +188,9 @@
 void ask_for_flows(replica_sync& sync, const std::vector<contested_flow>& questions, millis now,
                    sync_actions& actions);
 
+// True when this daemon is to be listed in the store, for daemons that know no other one.
+bool should_be_listed(const replica_sync& sync, millis now);
+
 // Answers a daemon that asks for contested flows.
 void send_contested_flows(replica_sync& sync, const endpoint& to,
                           const std::vector<contested_flow>& flows, sync_actions& actions);
--- a/src/testing/contested_flows_test.cpp
+++ b/src/testing/contested_flows_test.cpp
@@ -107,3 +107,32 @@
         }
     }
 }
+
+// A daemon that had found no other one, since all its seeds were stale, knew no contested flow.
+TEST_CASE("contested flows: daemons with stale seeds break none")
+{
+    for (const std::int64_t duration_ms : {250, 400, 700})
+    {
+        for (const std::int64_t add_after_ms : {300, 1'500, 4'800})
+        {
+            for (const bool are_all_isolated : {false, true})
+            {
+                CAPTURE(duration_ms);
+                CAPTURE(add_after_ms);
+                CAPTURE(are_all_isolated);
+                idle_flow_options options = make_options(7);
+                options.daemons = 5;
+                options.moves_all_flows = add_after_ms == 1'500;
+                fill_links(options, 25, full_at, duration_ms);
+                const std::int64_t at = full_at + duration_ms + add_after_ms;
+                options.added_daemons = {{3, at, at}, {4, at + 2'600, at + 2'600}};
+                options.isolated_daemons = {3, 4};
+                if (are_all_isolated)
+                {
+                    options.isolated_daemons = {0, 1, 2, 3, 4};
+                }
+                check_flows(options);
+            }
+        }
+    }
+}
