--- a/src/tagged/router_locations.cpp
+++ b/src/tagged/router_locations.cpp
@@ -132,7 +132,7 @@
 
 flow_relation relate_to_flow(const router_state& state, const known_route& known,
                              const remembered_flow& flow, const tagged_packet& packet,
-                             const tag_claim& claim, millis /*now*/)
+                             const tag_claim& claim, millis now)
 {
     const bool saw_opening = flow.openings > 0;
     if (claim.form == tag_form::opening)
@@ -147,7 +147,24 @@
     {
         return flow_relation::of_flow;
     }
-    return flow.stage == flow_stage::closed ? flow_relation::of_later_flow : flow_relation::of_flow;
+    const bool has_begun_lately = saw_opening && now < flow.first_seen + tuple_reuse_delay;
+    if (has_begun_lately && !is_of_flow(packet.sequence, flow.opening_sequence))
+    {
+        return flow_relation::of_earlier_flow;
+    }
+    switch (flow.stage)
+    {
+    case flow_stage::opening:
+    case flow_stage::unknown:
+        return flow_relation::of_flow;
+    case flow_stage::open:
+        return claim.form == tag_form::plain && continues_flow(flow, packet)
+                   ? flow_relation::of_flow
+                   : flow_relation::of_later_flow;
+    case flow_stage::closed:
+        break;
+    }
+    return flow_relation::of_later_flow;
 }
 
 flow_location locate_flow(const router_state& state, const known_route& known, const flow_key& key,
--- a/src/testing/contested_flows_test.cpp
+++ b/src/testing/contested_flows_test.cpp
@@ -136,3 +136,105 @@
         }
     }
 }
+
+// A daemon remembered where the addresses of a flow had been open before, and trusted that more
+// than the tag of the later flow.
+TEST_CASE("contested flows: planned restarts break no flow whose addresses an earlier flow had")
+{
+    for (const std::size_t ports : {120U, 200U, 280U})
+    {
+        for (const bool repeats_sequence : {false, true})
+        {
+            for (const std::int64_t links_ms : {0, 400})
+            {
+                CAPTURE(ports);
+                CAPTURE(repeats_sequence);
+                CAPTURE(links_ms);
+                idle_flow_options options = make_options(ports);
+                options.daemons = 2;
+                options.away_daemons = 2;
+                options.backends = 40;
+                options.opening_interval_ms = 25;
+                options.ports = ports;
+                options.repeats_sequence = repeats_sequence;
+                options.flows = 4 * ports;
+                options.requests = 3;
+                options.think_ms = 600;
+                fill_links(options, 25, full_at, links_ms);
+                const auto reuse_ms =
+                    static_cast<std::int64_t>(ports) * options.opening_interval_ms;
+                for (std::int64_t i = 0; i < 3; ++i)
+                {
+                    const std::int64_t at = full_at + 1'000 + i * reuse_ms;
+                    options.restarts.push_back({0, at, at + 2'200});
+                }
+                const idle_flow_report report = run_idle_flows(options);
+                CHECK(report.broken_in_touch == 0);
+                CHECK((links_ms > 0 || report.broken == 0));
+                CHECK(report.opened > options.flows / 2);
+            }
+        }
+    }
+}
+
+// Full links, kills of one or all daemons, planned restarts, daemons that are added, stale seeds
+// and ports that are used again, in any order.
+TEST_CASE("contested flows: no series of disruptions breaks one")
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed)
+    {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        const auto draw = [&random](std::int64_t low, std::int64_t high)
+        {
+            return low +
+                   static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(high - low));
+        };
+        idle_flow_options options = make_options(seed);
+        options.daemons = 1 + random() % 4;
+        options.away_daemons = 2 + random() % 4;
+        options.backends = 20 + random() % 60;
+        options.think_ms = draw(300, 6'000);
+        options.moves_all_flows = random() % 2 == 0;
+        options.ports = random() % 3 == 0 ? 300 + random() % 400 : 0;
+        options.repeats_sequence = random() % 3 == 0;
+        for (int i = 0; i < 3; ++i)
+        {
+            fill_links(options, 1 + random() % 15, draw(2'500, 6'500), draw(100, 900));
+        }
+        const std::size_t all = options.daemons + options.away_daemons;
+        if (random() % 2 == 0)
+        {
+            const std::int64_t at = draw(3'000, 12'000);
+            for (std::size_t i = 0; i < all; ++i)
+            {
+                options.kills.push_back({i, at, at + draw(100, 2'000)});
+            }
+        }
+        for (std::uint64_t i = random() % 4; i > 0; --i)
+        {
+            const std::int64_t at = draw(3'000, 14'000);
+            options.kills.push_back({random() % all, at, at + draw(100, 2'000)});
+        }
+        if (random() % 3 != 0)
+        {
+            const std::int64_t begin = draw(3'000, 12'000);
+            const std::int64_t gap = draw(2'300, 4'000);
+            for (std::size_t i = 0; i < all; ++i)
+            {
+                const std::int64_t at = begin + static_cast<std::int64_t>(i) * gap;
+                options.restarts.push_back({i, at, at + 2'200});
+            }
+        }
+        if (random() % 3 == 0)
+        {
+            const std::size_t added = random() % all;
+            const std::int64_t at = draw(4'000, 12'000);
+            options.added_daemons = {{added, at, at}};
+            options.isolated_daemons = {added};
+        }
+        const idle_flow_report report = run_idle_flows(options);
+        CHECK(report.broken_in_touch == 0);
+        CHECK(report.opened > 0);
+    }
+}
