--- a/src/net/http_responder.cpp
+++ b/src/net/http_responder.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::size_t receive_bytes = 2048;
 constexpr std::size_t max_path_bytes = 512;
+constexpr std::size_t max_body_bytes = 65'536;
 constexpr int listen_backlog = 64;
 
 std::string format_response(const http_page& page)
@@ -43,6 +44,7 @@
     guint source = 0;
     http_parser parser{};
     std::string path;
+    std::string body;
     std::string unsent;
     bool is_waiting = false;
     millis received_at;
@@ -63,6 +65,13 @@
         return self->path.size() > max_path_bytes ? 1 : 0;
     }
 
+    static int on_body(http_parser* parser, const char* bytes, std::size_t count)
+    {
+        auto* self = static_cast<connection*>(parser->data);
+        self->body.append(bytes, count);
+        return self->body.size() > max_body_bytes ? 1 : 0;
+    }
+
     static int on_complete(http_parser* parser)
     {
         auto* self = static_cast<connection*>(parser->data);
@@ -75,13 +84,14 @@
     void make_response()
     {
         const http_page page =
-            this->owner->maker({this->path, monotonic_now() - this->received_at});
+            this->owner->maker({this->path, this->body, monotonic_now() - this->received_at});
         if (page.is_deferred)
         {
             return;
         }
         this->unsent += format_response(page);
         this->path.clear();
+        this->body.clear();
         this->is_waiting = false;
     }
 
@@ -98,6 +108,7 @@
         http_parser_settings settings;
         http_parser_settings_init(&settings);
         settings.on_url = on_url;
+        settings.on_body = on_body;
         settings.on_message_complete = on_complete;
         const auto length = static_cast<std::size_t>(count);
         if (http_parser_execute(&this->parser, &settings, bytes.data(), length) != length)
--- a/src/net/http_responder.hpp
+++ b/src/net/http_responder.hpp
@@ -24,6 +24,7 @@
 struct http_query
 {
     std::string_view path;
+    std::string_view body;
     // Time since the request was received.
     millis waited;
 };
--- a/src/report/tagged_metrics.cpp
+++ b/src/report/tagged_metrics.cpp
@@ -106,6 +106,12 @@
     add_metric_family(page, "bad_packets_total", "reason", packet_error_names, counts.bad_packets);
     add_metric_family(page, "store_calls_total", "outcome", store_outcome_names,
                       counts.store_calls);
+    add_metric_family(page, "flow_lookups_total", "outcome", lookup_outcome_names,
+                      router.lookups.outcomes);
+    add_metric(page, "flow_records_written_total", "", "", counts.written_records);
+    add_metric(page, "flow_records_dropped_total", "", "", counts.dropped_records);
+    add_metric(page, "held_packets_dropped_total", "", "", counts.dropped_held_packets);
+    add_metric(page, "writes_tag_forms", "", "", router.writes_tag_forms ? 1 : 0);
     const auto suspected =
         std::count_if(router.backends.entries.begin(), router.backends.entries.end(),
                       [](const known_backend& backend) { return backend.evidence.is_suspected; });
--- a/src/report/tagged_metrics.hpp
+++ b/src/report/tagged_metrics.hpp
@@ -24,6 +24,10 @@
     // Store calls by outcome.
     std::array<std::uint64_t, store_outcome_names.size()> store_calls{};
     std::uint64_t refused_entries = 0;
+    // Records of contested flows, and packets that could not be held.
+    std::uint64_t written_records = 0;
+    std::uint64_t dropped_records = 0;
+    std::uint64_t dropped_held_packets = 0;
     std::uint64_t omitted_lines = 0;
     // Time from an opening packet to its answer, lifetime of a flow, and expected wait of a newly
     // placed flow. Unit: milliseconds.
--- a/src/spread/peer_table.cpp
+++ b/src/spread/peer_table.cpp
@@ -283,6 +283,17 @@
     return keepers;
 }
 
+bool is_representative(const peer_table& table, millis now)
+{
+    const std::vector<const peer_entry*> live = live_peers(table, now);
+    return !table.self.is_leaving &&
+           std::none_of(live.begin(), live.end(),
+                        [&table](const peer_entry* peer) {
+                            return !peer->report.is_leaving &&
+                                   peer->report.address < table.self.address;
+                        });
+}
+
 bool all_read_tag_forms(const peer_table& table, millis process_age)
 {
     if (table.peers.empty())
--- a/src/spread/peer_table.hpp
+++ b/src/spread/peer_table.hpp
@@ -1,8 +1,8 @@
 // Peer discovery by gossip: each daemon sends a few others a report about itself and reports about
 // some daemons that it has received lately. A daemon without a report newer than
 // `peer_live_timeout` does not count as live. The first contacts are the seeds of the settings, and
-// the daemons that follow the store and are listed there: a daemon that knows no other one follows
-// it as well, so groups of daemons that don't know each other find together.
+// daemons that are listed in the store: one of each group of daemons that know each other, so
+// groups find together, and one that knows no other is found.
 //
 // The cost does not grow with the number of daemons: `gossip_fanout` datagrams each
 // `gossip_interval`, each with reports about up to `max_reported_peers` others. Two of three
@@ -160,6 +160,10 @@
 // same ones, as far as they know the same peers.
 std::vector<endpoint> keepers_of_zone(const peer_table& table, const std::string& zone, millis now);
 
+// True for the one daemon of those that know each other that is listed in the store: the one with
+// the lowest address.
+bool is_representative(const peer_table& table, millis now);
+
 // True when all known daemons read all forms of tags, and none can be unknown any more: there are
 // some, or the process is older than `peer_live_timeout`.
 bool all_read_tag_forms(const peer_table& table, millis process_age);
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -67,15 +67,15 @@
     }
 }
 
-void update_following(replica_sync& sync, millis now)
+void update_representation(replica_sync& sync, millis now)
 {
-    if (!sync.assigned_role.follows_store)
+    if (!is_representative(sync.peers, now))
     {
-        sync.following_since.reset();
+        sync.representative_since.reset();
     }
-    else if (!sync.following_since)
+    else if (!sync.representative_since)
     {
-        sync.following_since = now;
+        sync.representative_since = now;
     }
 }
 
@@ -336,7 +336,7 @@
         request_contested_flows(sync, now, actions);
         sync.assigned_role =
             decide_watcher_role(sync.peers, sync.peers.self.store_age, sync.avoided, now);
-        update_following(sync, now);
+        update_representation(sync, now);
     }
     switch_source(sync, can_request_changes(sync) ? sync.assigned_role.source : std::nullopt);
     request_changes_when_due(sync, now, actions);
@@ -457,7 +457,7 @@
 
 bool should_be_listed(const replica_sync& sync, millis now)
 {
-    return sync.following_since && now >= *sync.following_since + listing_delay;
+    return sync.representative_since && now >= *sync.representative_since + listing_delay;
 }
 
 void send_contested_flows(replica_sync& sync, const endpoint& to,
--- a/src/spread/replica_sync.hpp
+++ b/src/spread/replica_sync.hpp
@@ -58,8 +58,8 @@
 constexpr millis contested_request_window{10'000};
 // Daemons that are asked where a flow is open.
 constexpr std::size_t max_flow_question_recipients = 40;
-// A daemon that has followed the store for this long is listed there: all do at first, until they
-// know each other.
+// The daemon that represents a group in the store is listed there after this long: at first each
+// daemon is a group of its own, until they know each other.
 constexpr millis listing_delay{2'000};
 
 // A datagram to another daemon.
@@ -140,8 +140,8 @@
     millis resumed_at;
     change_requester requester;
     watcher_role assigned_role;
-    // Since when this daemon has followed the store without a break.
-    std::optional<millis> following_since;
+    // Since when this daemon has represented the daemons that it knows, without a break.
+    std::optional<millis> representative_since;
     millis next_role_update;
     // The daemon that changes are requested from.
     std::optional<endpoint> source;
--- a/src/testing/peer_listing_test.cpp
+++ b/src/testing/peer_listing_test.cpp
@@ -1,5 +1,6 @@
-// Daemons whose seeds are stale: they find the others, and the others find them, through what
-// followers of the store list there. Such a daemon used to stay alone for as long as it ran.
+// Daemons whose seeds are stale: they find the others, and the others find them, through the
+// listings in the store. Such a daemon used to stay alone for as long as it ran.
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 {
     replica_fleet daemons;
     std::vector<bool> is_listed;
+    int writes = 0;
 
     listing_fleet(int count, int zones) : daemons(count, zones)
     {
@@ -60,11 +62,16 @@
     void update_listing(std::size_t index)
     {
         const replica_fleet::member& daemon = this->daemons.members[index];
+        if (!daemon.is_up)
+        {
+            return;
+        }
         const bool should_list = should_be_listed(daemon.sync, this->daemons.now);
         const std::string key = listing_prefix + to_string(daemon.sync.peers.self.address);
         if (should_list && !this->is_listed[index])
         {
             this->daemons.store.write(key, "{}");
+            ++this->writes;
         }
         else if (!should_list && this->is_listed[index])
         {
@@ -78,6 +85,11 @@
         this->daemons.members[daemon].sync.peers.seeds = {address_of(900), address_of(901)};
     }
 
+    std::ptrdiff_t count_listed() const
+    {
+        return std::count(this->is_listed.begin(), this->is_listed.end(), true);
+    }
+
     // The number of daemons that know all others.
     std::size_t count_informed() const
     {
@@ -141,15 +153,21 @@
     CHECK(fleet.count_informed() == 10);
 }
 
-TEST_CASE("listing: only daemons that go on following the store are listed")
+TEST_CASE("listing: one daemon of a fleet is listed, and another one when it is gone")
 {
     listing_fleet fleet(36, 3);
     fleet.run(10'000);
-    std::size_t listed = 0;
-    for (const bool is_listed : fleet.is_listed)
+    CHECK(fleet.count_listed() == 1);
+    // Each listing wakes all that follow the store.
+    CHECK(fleet.writes <= 2);
+    for (std::size_t i = 0; i < fleet.daemons.members.size(); ++i)
     {
-        listed += is_listed ? 1 : 0;
+        if (fleet.is_listed[i])
+        {
+            fleet.daemons.members[i].is_up = false;
+        }
     }
-    CHECK(listed > 0);
-    CHECK(listed <= static_cast<std::size_t>(fleet.daemons.count_followers()));
+    fleet.run(peer_live_timeout.count + 4'000);
+    CHECK(fleet.count_listed() == 2);
+    CHECK(fleet.writes <= 4);
 }
--- a/src/testing/soak/soak_store.cpp
+++ b/src/testing/soak/soak_store.cpp
@@ -6,6 +6,8 @@
 #include <glib.h>
 #include <nlohmann/json.hpp>
 
+#include "net/monotonic_clock.hpp"
+
 namespace briarbarrow
 {
 
@@ -115,6 +117,7 @@
 
 void soak_store::tick()
 {
+    expire_leases(this->data, monotonic_now());
     this->server->serve_pending();
 }
 
@@ -126,12 +129,82 @@
         page.status = 503;
         return page;
     }
-    page = query.path.find("kv-watch") != std::string_view::npos ? this->handle_watch(query)
-                                                                 : this->handle_read(query);
+    const auto is_call = [&query](std::string_view name)
+    {
+        return query.path.find(name) != std::string_view::npos;
+    };
+    page = is_call("kv-watch")   ? this->handle_watch(query)
+           : is_call("kv-key")   ? this->handle_key(query)
+           : is_call("kv-lease") ? this->handle_lease(query)
+           : is_call("kv-keep")  ? this->handle_renewal(query)
+           : is_call("kv-txn")   ? this->handle_write(query)
+                                 : this->handle_read(query);
     page.headers = "Store-Era: " + std::to_string(this->era) + "\r\n";
     return page;
 }
 
+http_page soak_store::handle_key(const http_query& query) const
+{
+    const std::string key = find_parameter(query.path, "Key=");
+    const auto found = this->data.values.find(key);
+    http_page page;
+    if (found == this->data.values.end())
+    {
+        page.status = 404;
+        return page;
+    }
+    page.body = make_item(key, found->second).dump();
+    return page;
+}
+
+http_page soak_store::handle_lease(const http_query& query)
+{
+    const millis duration{json::parse(query.body).at("TtlMs").get<std::int64_t>()};
+    http_page page;
+    page.body =
+        json{{"Lease",
+              static_cast<std::uint64_t>(grant_lease(this->data, duration, monotonic_now()))},
+             {"TtlMs", duration.count}}
+            .dump();
+    return page;
+}
+
+http_page soak_store::handle_renewal(const http_query& query)
+{
+    const std::int64_t lease = parse_number_after(query.path, "kv-keep/");
+    const millis duration = renew_lease(this->data, lease, monotonic_now());
+    http_page page;
+    page.status = duration > millis{} ? 200 : 404;
+    page.body = json{{"TtlMs", duration.count}}.dump();
+    return page;
+}
+
+http_page soak_store::handle_write(const http_query& query)
+{
+    const json body = json::parse(query.body);
+    http_page page;
+    for (const json& entry : body.at("Puts"))
+    {
+        const auto lease = entry.at("Lease").get<std::int64_t>();
+        if (lease != 0 && this->data.leases.count(lease) == 0)
+        {
+            page.status = 404;
+            return page;
+        }
+    }
+    for (const json& entry : body.at("Puts"))
+    {
+        gsize length = 0;
+        guchar* bytes = g_base64_decode(entry.at("Value").get<std::string>().c_str(), &length);
+        put_value(this->data, entry.at("Key").get<std::string>(),
+                  std::string(reinterpret_cast<const char*>(bytes), length),
+                  entry.at("Lease").get<std::int64_t>());
+        g_free(bytes);
+    }
+    page.body = json{{"Revision", this->data.revision}}.dump();
+    return page;
+}
+
 http_page soak_store::handle_read(const http_query& query) const
 {
     const std::string after = find_parameter(query.path, "&after=");
--- a/src/testing/soak/soak_store.hpp
+++ b/src/testing/soak/soak_store.hpp
@@ -40,6 +40,10 @@
     http_page handle_request(const http_query& query);
     http_page handle_read(const http_query& query) const;
     http_page handle_watch(const http_query& query);
+    http_page handle_key(const http_query& query) const;
+    http_page handle_lease(const http_query& query);
+    http_page handle_renewal(const http_query& query);
+    http_page handle_write(const http_query& query);
 
     kv_store data;
     std::int64_t compacted_revision = 0;
