Records of flows are written in fewer batches

Cause: each write wakes all who follow the store, and a short trouble made each daemon write twice or three times. Change: a batch is written half a second after its first entry, and one every second at most; a lease takes entries for 120 s in place of 30 s. Conclusion: a daemon that dies within that second leaves silent flows, not reset ones.

--- a/src/follow/leased_writer.cpp
+++ b/src/follow/leased_writer.cpp
@@ -84,6 +84,10 @@
 
 void add_entry(leased_writer& writer, const store_entry& entry, millis now)
 {
+    if (writer.waiting.empty())
+    {
+        writer.next_call = std::max(writer.next_call, now + writer.limits.batch_delay);
+    }
     writer.waiting.push_back({entry, now});
     if (writer.limits.renewal_interval)
     {
--- a/src/follow/leased_writer.hpp
+++ b/src/follow/leased_writer.hpp
@@ -33,9 +33,11 @@
     millis lease_duration{120'000};
     // A lease that is renewed, and how often; otherwise a new one is taken after `lease_use`.
     std::optional<millis> renewal_interval;
-    millis lease_use{30'000};
-    // Delay between two batches, and between two full ones.
-    millis batch_interval{500};
+    millis lease_use{120'000};
+    // Delay from an entry to the batch that holds it, between two batches, and between two full
+    // ones.
+    millis batch_delay{500};
+    millis batch_interval{1'000};
     millis full_batch_interval{50};
     // The store may be 60 times slower than its usual 4 ms.
     millis call_timeout{600};
--- a/src/testing/idle_flow_exchange.cpp
+++ b/src/testing/idle_flow_exchange.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t store_delay_ms = 4;
 constexpr std::int64_t store_retry_ms = 200;
+// Records are written in batches.
+constexpr std::int64_t record_delay_ms = 500;
 
 } // namespace
 
@@ -95,7 +97,7 @@
 
 void idle_flow_fleet::record_in_store(const std::vector<contested_flow>& flows)
 {
-    this->after(store_delay_ms,
+    this->after(record_delay_ms,
                 [this, flows]()
                 {
                     if (this->is_store_down())
