--- /dev/null
+++ b/review/standin-3/world.hpp
@@ -0,0 +1,186 @@
+// A small deployment around real daemons: the store, backend servers, callers, and the routers that
+// follow the daemons' readiness. It records what was sent, answered and run.
+#ifndef REVIEW_STANDIN_3_WORLD_HPP
+#define REVIEW_STANDIN_3_WORLD_HPP
+
+#include <cstdint>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+#include "packet.hpp"
+#include "sockets.hpp"
+#include "store.hpp"
+
+namespace review
+{
+
+// Bounds of the deployment's settings. Unit: milliseconds.
+constexpr std::int64_t max_drain_ms = 3'000;
+// Of the deployment with slow links.
+constexpr std::int64_t max_recovery_ms = 15'000;
+
+struct world_options
+{
+    std::string record_path;
+    // Bytes per second of the link between a daemon and the store; 0 for no limit. With a limit the
+    // settings are those of quito-central-grown, otherwise those of quito-central.
+    double link_bytes_per_s = 0;
+    int requests_per_s = 60;
+};
+
+// A daemon, and its state as the routers see it.
+struct daemon_process
+{
+    std::string name;
+    std::string zone;
+    address packets;
+    address ready;
+    std::string settings_path;
+    pid_t pid = 0;
+    int probe = -1;
+    std::int64_t probe_began = 0;
+    std::string probe_answer;
+    int misses = 2;
+    bool is_in_rotation = false;
+};
+
+// A flow at a backend server.
+struct backend_flow
+{
+    packet_header caller;
+    std::string request;
+    std::string response;
+    std::int64_t answers_at = 0;
+    // Next time that something unacknowledged is sent again, and how often it was.
+    std::int64_t repeats_at = 0;
+    int repeats = 0;
+    bool is_open = false;
+    bool has_run = false;
+    bool is_answered = false;
+    bool is_done = false;
+};
+
+struct backend_server
+{
+    std::string name;
+    std::uint64_t number = 0;
+    std::string service;
+    std::string zone;
+    address at;
+    std::int64_t born = 0;
+    int calls = 0;
+    int datagrams = -1;
+    int listener = -1;
+    bool is_draining = false;
+    // When the store acknowledged that it drains.
+    std::int64_t drain_acknowledged = 0;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, backend_flow> flows;
+    std::vector<std::pair<int, std::string>> checks;
+};
+
+// An attempt of a caller; this deployment's callers don't try again.
+struct attempt
+{
+    std::uint64_t id = 0;
+    bool is_unsafe = false;
+    std::string zone;
+    std::size_t caller = 0;
+    std::uint16_t port = 0;
+    std::int64_t began = 0;
+    std::int64_t next_send = 0;
+    int sends = 0;
+    bool is_open = false;
+    std::uint32_t opening_sequence = 0;
+    std::uint32_t acknowledgement = 0;
+    std::uint32_t echo = 0;
+    std::string request;
+    std::string received;
+    bool is_served = false;
+    bool is_over = false;
+};
+
+class world
+{
+public:
+    explicit world(const world_options& options);
+    ~world();
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+
+    // True if all ports could be opened.
+    bool is_usable() const;
+
+    // Writes a configuration with the three routes of the traffic and this many others.
+    void write_configuration(std::size_t other_routes);
+    backend_server& add_backend(const std::string& service, const std::string& zone);
+    // Writes the entry of a backend server.
+    void write_entry(backend_server& server);
+    void drain(backend_server& server);
+    // Ends a backend server's process, with its flows; it starts again at the same address.
+    void end_process(backend_server& server);
+    bool start_process(backend_server& server);
+
+    void start_daemon(daemon_process& process);
+    void kill_daemon(daemon_process& process);
+
+    // Runs everything until this time after the start.
+    void run_until(std::int64_t time);
+    // Begins or ends the traffic.
+    void set_traffic(bool is_on);
+
+    void record(const std::string& line);
+    std::int64_t time() const;
+
+    store metadata;
+    std::vector<daemon_process> daemons;
+    std::vector<std::unique_ptr<backend_server>> backends;
+    std::vector<std::unique_ptr<attempt>> attempts;
+    // Opening packets that reached a backend server later than `max_drain_ms` after the store had
+    // acknowledged that it drains, of requests that were sent later than that.
+    std::vector<std::string> late_openings;
+
+private:
+    address make_address(int part, int number, std::uint16_t port) const;
+    void probe(daemon_process& process);
+    void finish_probe(daemon_process& process, bool is_ready);
+    const daemon_process* choose_daemon(const attempt& from) const;
+    void begin_attempt();
+    void send_if_due(attempt& sender);
+    void send_from_caller(attempt& sender, std::uint8_t flags, std::uint32_t sequence,
+                          const std::string& data);
+    void receive_at_caller(std::size_t caller);
+    void handle_answer(attempt& receiver, const packet_header& header, const std::string& data);
+    void run_backend(backend_server& server);
+    void receive_at_backend(backend_server& server, const std::string& bytes, const address& from);
+    void accept_opening(backend_server& server, const packet_header& header, const address& from);
+    void answer_checks(backend_server& server);
+    void send_to_caller(const backend_server& server, const packet_header& to, std::uint8_t flags,
+                        std::uint32_t sequence, std::uint32_t acknowledgement,
+                        const std::string& data) const;
+    attempt* find_attempt(std::uint32_t caller, std::uint16_t port);
+
+    world_options options;
+    std::ofstream record_file;
+    std::string folder;
+    int net = 0;
+    bool usable = true;
+    std::int64_t started = 0;
+    std::int64_t now = 0;
+    std::int64_t version = 0;
+    bool has_traffic = false;
+    std::int64_t next_request = 0;
+    std::uint64_t next_id = 1;
+    std::size_t oldest_running = 0;
+    std::vector<int> callers;
+    std::map<std::pair<std::uint32_t, std::uint16_t>, attempt*> attempts_by_flow;
+};
+
+} // namespace review
+
+#endif
