--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 PLAYER=target/review-3/review_cases
 [ -x "$PLAYER" ] && [ -x target/briarbarrow_platformd ] || exit 2
-exec "$PLAYER" foreign-entries review/14/record.txt
+exec "$PLAYER" split review/14/record.txt
--- a/review/standin-3/cases.cpp
+++ b/review/standin-3/cases.cpp
@@ -25,6 +25,7 @@
         for (const char* zone : {"quito-a", "quito-b", "cayambe"})
         {
             scene.add_backend("counter", zone);
+            scene.add_backend("counter-next", zone);
         }
     }
     for (daemon_process& process : scene.daemons)
@@ -56,12 +57,6 @@
     return all == 0 ? 0 : static_cast<double>(served) / static_cast<double>(all);
 }
 
-int judge_drain(world& scene)
-{
-    scene.record("openings later than the bound: " + std::to_string(scene.late_openings.size()));
-    return scene.late_openings.empty() ? rule_held : rule_broken;
-}
-
 // The configuration grows; later all daemons are killed and start again.
 int play_recovery(world& scene, bool has_trouble)
 {
@@ -100,65 +95,42 @@
     return after < 0.25 ? rule_broken : rule_held;
 }
 
-// Another writer leaves entries that can't be read; then a backend server drains.
-int play_foreign_entries(world& scene, bool has_trouble)
+// Open flows for many requests go on while the operator ends a canary and daemons are restarted.
+int play_split(world& scene, bool has_trouble)
 {
-    if (has_trouble)
+    constexpr int feeds = 240;
+    for (int i = 0; i < feeds; ++i)
     {
-        std::map<std::string, std::string> entries;
-        for (const char* name : {"a", "b", "c", "d"})
-        {
-            entries["servers/dump-" + std::string(name)] = std::string(max_value_bytes, '\x9f');
-        }
-        scene.metadata.change(entries, {});
-        scene.record("another writer writes 4 entries of " + std::to_string(max_value_bytes) +
-                     " bytes that can't be read; acknowledged");
+        // Kept open for some 44 s.
+        scene.begin_feed(12);
+        scene.run_until(scene.time() + 20);
     }
-    scene.run_until(9'000);
-    scene.drain(*scene.backends.front());
-    scene.run_until(17'000);
-    scene.set_traffic(false);
-    scene.run_until(scene.time() + 3'000);
-    return judge_drain(scene);
-}
-
-// A backend server that has just been added crashes and starts again under its id. Meanwhile the
-// time of day on its machine has jumped back.
-int play_earlier_start(world& scene, bool has_trouble)
-{
-    backend_server& server = scene.add_backend("counter", "quito-a");
-    const std::int64_t first_start = scene.time();
-    scene.run_until(first_start + 500);
-    scene.end_process(server);
-    scene.run_until(first_start + 1'200);
-    if (!scene.start_process(server))
-    {
-        return not_run;
-    }
-    constexpr std::int64_t jump_ms = 2'400;
-    server.born += scene.time() - first_start - (has_trouble ? jump_ms : 0);
-    if (has_trouble)
+    scene.run_until(14'000);
+    scene.write_configuration(8, has_trouble ? 0 : 10);
+    scene.run_until(18'000);
+    for (daemon_process& process : scene.daemons)
     {
-        scene.record("the time of day at server " + server.name + " has jumped back by " +
-                     std::to_string(jump_ms) + " ms");
+        scene.restart_daemon(process);
+        scene.run_until(scene.time() + 3'000);
     }
-    scene.write_entry(server);
-    scene.run_until(scene.time() + 6'000);
-    scene.drain(server);
-    scene.run_until(scene.time() + 8'000);
+    scene.run_until(55'000);
     scene.set_traffic(false);
     scene.run_until(scene.time() + 3'000);
-    return judge_drain(scene);
+    std::size_t broken = 0;
+    for (const auto& sent : scene.attempts)
+    {
+        broken += sent->is_broken ? 1 : 0;
+    }
+    scene.record("open flows that the system reset: " + std::to_string(broken));
+    return broken > 0 ? rule_broken : rule_held;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const std::map<std::string, int (*)(world&, bool)> cases{
-        {"recovery", play_recovery},
-        {"foreign-entries", play_foreign_entries},
-        {"earlier-start", play_earlier_start}};
+    const std::map<std::string, int (*)(world&, bool)> cases{{"recovery", play_recovery},
+                                                             {"split", play_split}};
     const std::string name = argc > 1 ? argv[1] : "";
     const auto found = cases.find(name);
     if (argc < 3 || found == cases.end())
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -40,8 +40,7 @@
 constexpr std::int64_t work_ms = 20;
 constexpr std::uint32_t backend_sequence = 70'000;
 constexpr std::uint32_t route_address = 0xc6120001;
-constexpr std::uint16_t safe_port = 8443;
-constexpr std::uint16_t unsafe_port = 8080;
+constexpr std::int64_t feed_pause_ms = 4'000;
 
 constexpr const char* small_bounds =
     "StableWindowMs = 4000\nAckMs = 5000\nCatchUpS = 4\nDrainMs = 3000\nConfigApplyMs = 3000\n"
@@ -72,13 +71,22 @@
     return value ^ value >> 32U;
 }
 
+// `services` is the field that names them.
 std::string make_route(const std::string& name, const std::string& host, int port,
-                       const std::string& kind, const std::string& service)
+                       const std::string& kind, const std::string& services)
 {
     return R"({"Name":")" + name + R"(","Host":")" + host + R"(","Prefix":"/)" +
            std::to_string(port) + R"(/","Type":")" + kind +
-           R"(","TimeoutMs":1000,"SloMs":150,"Priority":1,"Service":")" + service +
-           R"(","MaxAttempts":2})";
+           R"(","TimeoutMs":1000,"SloMs":150,"Priority":1,)" + services + R"(,"MaxAttempts":2})";
+}
+
+std::string make_split(int second_percent)
+{
+    const std::string first =
+        R"({"Service":"counter","Weight":)" + std::to_string(100 - second_percent) + "}";
+    const std::string second =
+        R"(,{"Service":"counter-next","Weight":)" + std::to_string(second_percent) + "}";
+    return R"("TrafficSplit":[)" + first + (second_percent > 0 ? second : "") + "]";
 }
 
 std::string make_service(const std::string& name)
@@ -183,25 +191,30 @@
     this->record_file << stamp.data() << line << "\n";
 }
 
-void world::write_configuration(std::size_t other_routes)
+void world::write_configuration(std::size_t other_routes, int second_percent)
 {
+    const std::string counter = R"("Service":"counter")";
     this->version += 3;
-    std::string routes = make_route("previews", "198.18.0.1", safe_port, "safe", "counter") + "," +
-                         make_route("orders", "198.18.0.1", unsafe_port, "unsafe", "counter");
+    std::string routes =
+        make_route("previews", "198.18.0.1", safe_port, "safe", counter) + "," +
+        make_route("orders", "198.18.0.1", unsafe_port, "unsafe", counter) + "," +
+        make_route("feed", "198.18.0.1", feed_port, "safe", make_split(second_percent));
     for (std::size_t i = 0; i < other_routes; ++i)
     {
         const std::string host =
             "198.18." + std::to_string(1 + i / 200) + "." + std::to_string(1 + i % 200);
-        routes += "," + make_route("shop-" + std::to_string(i), host, 443, "safe", "counter");
+        routes += "," + make_route("shop-" + std::to_string(i), host, 443, "safe", counter);
     }
     const std::string text = R"({"Version":)" + std::to_string(this->version) + R"(,"Routes":[)" +
-                             routes + R"(],"Services":[)" + make_service("counter") +
+                             routes + R"(],"Services":[)" + make_service("counter") + "," +
+                             make_service("counter-next") +
                              R"(],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,)" +
                              R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
     this->metadata.put("op/config", text);
     this->record("the operator writes configuration " + std::to_string(this->version) + " with " +
-                 std::to_string(other_routes + 2) + " routes, " + std::to_string(text.size()) +
-                 " bytes; acknowledged");
+                 std::to_string(other_routes + 3) + " routes, " + std::to_string(text.size()) +
+                 " bytes, " + std::to_string(second_percent) +
+                 "% of the new feeds to counter-next; acknowledged");
 }
 
 backend_server& world::add_backend(const std::string& service, const std::string& zone)
@@ -224,47 +237,22 @@
     return server;
 }
 
-void world::write_entry(backend_server& server)
+void world::write_entry(const backend_server& server)
 {
-    ++server.calls;
-    this->metadata.put(
-        "servers/" + server.name,
-        R"({"Service":")" + server.service + R"(","Address":")" + to_text(server.at) +
-            R"(","Zone":")" + server.zone + R"(","Version":"v1","MaxConcurrent":2,"State":")" +
-            (server.is_draining ? "draining" : "ready") + R"(","WarmupLeftMs":0,"CallSeq":)" +
-            std::to_string(server.calls) + R"(,"born":)" + std::to_string(server.born) + "}");
-    this->record("server " + server.name + " at " + to_text(server.at) + " reports " +
-                 (server.is_draining ? "draining" : "ready") + ", born " +
+    this->metadata.put("servers/" + server.name,
+                       R"({"Service":")" + server.service + R"(","Address":")" +
+                           to_text(server.at) + R"(","Zone":")" + server.zone +
+                           R"(","Version":"v1","MaxConcurrent":2,"State":"ready")" +
+                           R"(,"WarmupLeftMs":0,"CallSeq":1,"born":)" +
+                           std::to_string(server.born) + "}");
+    this->record("server " + server.name + " at " + to_text(server.at) + " reports ready, born " +
                  std::to_string(server.born) + "; acknowledged");
 }
 
-void world::drain(backend_server& server)
-{
-    server.is_draining = true;
-    this->write_entry(server);
-    server.drain_acknowledged = this->now;
-}
-
-void world::end_process(backend_server& server)
-{
-    close(server.datagrams);
-    close(server.listener);
-    server.datagrams = -1;
-    server.listener = -1;
-    for (const auto& [socket, bytes] : server.checks)
-    {
-        close(socket);
-    }
-    server.checks.clear();
-    server.flows.clear();
-    this->record("server " + server.name + " ends");
-}
-
 bool world::start_process(backend_server& server)
 {
     server.datagrams = open_datagram_socket(server.at);
     server.listener = open_listener(server.at);
-    server.calls = 0;
     this->record("server " + server.name + " starts");
     return server.datagrams >= 0 && server.listener >= 0;
 }
@@ -303,6 +291,26 @@
     }
 }
 
+void world::restart_daemon(daemon_process& process)
+{
+    constexpr std::int64_t grace_ms = 6'000;
+    const std::int64_t stopped = this->now;
+    kill(process.pid, SIGTERM);
+    this->record(process.name + " gets SIGTERM");
+    while (waitpid(process.pid, nullptr, WNOHANG) == 0)
+    {
+        this->run_until(this->now + 10);
+        if (this->now > stopped + grace_ms)
+        {
+            kill(process.pid, SIGKILL);
+        }
+    }
+    process.pid = 0;
+    this->record(process.name + " has ended");
+    this->run_until(this->now + 200);
+    this->start_daemon(process);
+}
+
 void world::set_traffic(bool is_on)
 {
     this->has_traffic = is_on;
@@ -386,23 +394,39 @@
     return nullptr;
 }
 
-void world::begin_attempt()
+attempt& world::begin_attempt(std::uint16_t route_port)
 {
     auto begun = std::make_unique<attempt>();
     begun->id = this->next_id++;
-    begun->is_unsafe = begun->id % 4 == 0;
+    begun->route_port = route_port;
     begun->caller = begun->id % caller_count;
     begun->zone = zones[begun->caller % zones.size()];
     begun->port = static_cast<std::uint16_t>(1'024 + begun->id % 60'000);
     begun->began = this->now;
     begun->next_send = this->now;
     begun->opening_sequence = static_cast<std::uint32_t>(mix(begun->id, 3));
-    begun->request = std::string(begun->is_unsafe ? "POST /order" : "GET /preview") +
-                     " HTTP/1.1\r\nHost: shop\r\nRequest-Id: " + std::to_string(begun->id) +
-                     "\r\nContent-Length: 0\r\n\r\n";
+    begun->sequence = begun->opening_sequence + 1;
+    this->begin_request(*begun);
     const auto caller = static_cast<int>(begun->caller) + 1;
     this->attempts_by_flow[{this->make_address(3, caller, 0).host, begun->port}] = begun.get();
     this->attempts.push_back(std::move(begun));
+    return *this->attempts.back();
+}
+
+void world::begin_request(attempt& sender)
+{
+    sender.request_began = this->now;
+    sender.received.clear();
+    sender.request = std::string(sender.route_port == unsafe_port ? "POST /order" : "GET /page") +
+                     " HTTP/1.1\r\nHost: shop\r\nRequest-Id: " + std::to_string(sender.id) + "-" +
+                     std::to_string(sender.requests_left) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+void world::begin_feed(int requests)
+{
+    attempt& begun = this->begin_attempt(feed_port);
+    begun.requests_left = requests;
+    this->begin_request(begun);
 }
 
 void world::send_from_caller(attempt& sender, std::uint8_t flags, std::uint32_t sequence,
@@ -422,20 +446,21 @@
     header.source = this->make_address(3, static_cast<int>(sender.caller) + 1, 0).host;
     header.source_port = sender.port;
     header.destination = route_address;
-    header.destination_port = sender.is_unsafe ? unsafe_port : safe_port;
+    header.destination_port = sender.route_port;
     header.echo = sender.echo;
     send_datagram(this->callers[sender.caller], process->packets, encode_packet(header, data));
     if (sender.sends == 0)
     {
-        this->record(
-            "request " + std::to_string(sender.id) + (sender.is_unsafe ? " (unsafe)" : " (safe)") +
-            (sender.is_open ? " is sent to " : ": opening packet is sent to ") + process->name);
+        this->record("request " + std::to_string(sender.id) +
+                     (sender.route_port == unsafe_port ? " (unsafe)" : " (safe)") +
+                     (sender.is_open ? " is sent to " : ": opening packet is sent to ") +
+                     process->name);
     }
 }
 
 void world::send_if_due(attempt& sender)
 {
-    if (this->now >= sender.began + request_limit_ms + opening_limit_ms)
+    if (this->now >= sender.request_began + request_limit_ms + opening_limit_ms)
     {
         sender.is_over = true;
         this->record("request " + std::to_string(sender.id) + " is given up without an answer");
@@ -447,7 +472,7 @@
     }
     if (sender.is_open)
     {
-        this->send_from_caller(sender, ack_flag, sender.opening_sequence + 1, sender.request);
+        this->send_from_caller(sender, ack_flag, sender.sequence, sender.request);
         sender.next_send =
             this->now + std::min(first_repeat_ms << std::min(sender.sends, 3), max_repeat_ms);
         ++sender.sends;
@@ -500,7 +525,11 @@
     if ((header.flags & rst_flag) != 0)
     {
         receiver.is_over = true;
-        this->record(name + (receiver.is_open ? " is reset" : " is refused by a reset") +
+        // Its server has run a request of it, so the flow is open there.
+        receiver.is_broken = !receiver.server.empty() && header.checksum == 0;
+        this->record(name +
+                     (receiver.server.empty() ? " is refused by a reset"
+                                              : " is reset, open at " + receiver.server) +
                      (header.checksum == 0 ? " of the system" : " of a server"));
         return;
     }
@@ -518,18 +547,27 @@
         receiver.next_send = this->now;
         return;
     }
-    if (receiver.is_open && !data.empty())
+    if (!receiver.is_open || data.empty())
     {
-        receiver.received += data;
-        receiver.acknowledgement += static_cast<std::uint32_t>(data.size());
-        const auto end =
-            static_cast<std::uint32_t>(receiver.opening_sequence + 1 + receiver.request.size());
-        this->send_from_caller(receiver, ack_flag | fin_flag, end, "");
-        receiver.is_served = receiver.received.find("Request-Id: " + std::to_string(receiver.id) +
-                                                    "\r\n") != std::string::npos;
-        receiver.is_over = true;
-        this->record(name + (receiver.is_served ? " is served" : " gets an answer of another"));
+        return;
     }
+    receiver.received += data;
+    receiver.acknowledgement += static_cast<std::uint32_t>(data.size());
+    const std::string id = receiver.request.substr(receiver.request.find("Request-Id: "));
+    receiver.is_served = receiver.received.find(id.substr(0, id.find("\r\n"))) != std::string::npos;
+    this->record(name + (receiver.is_served ? " is served" : " gets an answer of another"));
+    receiver.sequence += static_cast<std::uint32_t>(receiver.request.size());
+    if (--receiver.requests_left > 0)
+    {
+        this->send_from_caller(receiver, ack_flag, receiver.sequence, "");
+        this->begin_request(receiver);
+        receiver.request_began = this->now + feed_pause_ms;
+        receiver.next_send = receiver.request_began;
+        receiver.sends = 0;
+        return;
+    }
+    this->send_from_caller(receiver, ack_flag | fin_flag, receiver.sequence, "");
+    receiver.is_over = true;
 }
 
 void world::send_to_caller(const backend_server& server, const packet_header& to,
@@ -561,20 +599,13 @@
         const auto through = std::find_if(this->daemons.begin(), this->daemons.end(),
                                           [&from](const daemon_process& process)
                                           { return process.packets.host == from.host; });
-        const std::string line = "opening packet of request " + std::to_string(sender->id) +
-                                 " reaches server " + server.name + " of " + server.service +
-                                 (through == this->daemons.end() ? "" : " from " + through->name);
-        this->record(line);
-        const std::int64_t bound = server.drain_acknowledged + max_drain_ms;
-        if (server.is_draining && sender->began > bound && this->now > bound)
-        {
-            this->late_openings.push_back(line + " " +
-                                          std::to_string(this->now - server.drain_acknowledged) +
-                                          " ms after the store acknowledged that it drains");
-            this->record("DRAIN is broken: " + this->late_openings.back());
-        }
+        this->record("opening packet of request " + std::to_string(sender->id) +
+                     " reaches server " + server.name + " of " + server.service +
+                     (through == this->daemons.end() ? "" : " from " + through->name));
     }
     flow.caller = header;
+    flow.received_end = header.sequence + 1;
+    flow.sent_end = backend_sequence + 1;
     flow.repeats_at = this->now + first_repeat_ms;
     this->send_to_caller(server, header, syn_flag | ack_flag, backend_sequence, header.sequence + 1,
                          "");
@@ -618,23 +649,35 @@
     backend_flow& flow = found->second;
     flow.caller = header;
     flow.is_open = true;
+    const auto answer_end = static_cast<std::uint32_t>(flow.sent_end + flow.response.size());
+    if (flow.has_run && header.acknowledgement == answer_end)
+    {
+        flow.sent_end = answer_end;
+        flow.has_run = false;
+    }
     if ((header.flags & fin_flag) != 0)
     {
         flow.is_done = true;
-        this->send_to_caller(server, header, ack_flag, header.acknowledgement, header.sequence + 1,
-                             "");
+        this->send_to_caller(server, header, ack_flag, flow.sent_end, header.sequence + 1, "");
     }
-    if (data.empty() || flow.has_run)
+    if (data.empty() || header.sequence != flow.received_end)
     {
         return;
     }
+    flow.received_end += static_cast<std::uint32_t>(data.size());
     flow.has_run = true;
-    flow.request = data;
+    flow.is_answered = false;
+    flow.repeats = 0;
     flow.answers_at = this->now + work_ms;
     const std::size_t begin = data.find("Request-Id: ");
     const std::string id = data.substr(begin, data.find("\r\n", begin) - begin);
     flow.response = "HTTP/1.1 200 OK\r\n" + id + "\r\nServer-Seal: " + server.name +
                     "\r\nContent-Length: 0\r\n\r\n";
+    attempt* sender = this->find_attempt(header.source, header.source_port);
+    if (sender != nullptr)
+    {
+        sender->server = server.name + " of " + server.service;
+    }
     this->record("server " + server.name + " runs the request with " + id);
 }
 
@@ -651,9 +694,8 @@
         const bool is_open = receive_bytes(socket, bytes);
         if (is_open && take_request(bytes, request))
         {
-            std::string response =
-                make_response(server.is_draining ? 503 : 200,
-                              "Instance-Id: " + server.name + "\r\nBackend-Load: 0,0,8\r\n", "");
+            std::string response = make_response(
+                200, "Instance-Id: " + server.name + "\r\nBackend-Load: 0,0,8\r\n", "");
             send_bytes(socket, response, response.size());
         }
         if (!is_open)
@@ -694,8 +736,7 @@
         {
             flow.repeats = flow.is_answered ? flow.repeats : 0;
             flow.is_answered = true;
-            const auto end = static_cast<std::uint32_t>(flow.caller.sequence + flow.request.size());
-            this->send_to_caller(server, flow.caller, ack_flag, backend_sequence + 1, end,
+            this->send_to_caller(server, flow.caller, ack_flag, flow.sent_end, flow.received_end,
                                  flow.response);
         }
         else
@@ -729,7 +770,8 @@
         }
         while (this->has_traffic && this->now >= this->next_request)
         {
-            this->begin_attempt();
+            const bool is_unsafe = this->next_id % 4 == 0;
+            this->begin_attempt(is_unsafe ? unsafe_port : safe_port);
             this->next_request += 1'000 / this->options.requests_per_s;
         }
         for (std::size_t i = this->oldest_running; i < this->attempts.size(); ++i)
--- a/review/standin-3/world.hpp
+++ b/review/standin-3/world.hpp
@@ -20,9 +20,7 @@
 namespace review
 {
 
-// Bounds of the deployment's settings. Unit: milliseconds.
-constexpr std::int64_t max_drain_ms = 3'000;
-// Of the deployment with slow links.
+// `RecoveryS` of the deployment with slow links. Unit: milliseconds.
 constexpr std::int64_t max_recovery_ms = 15'000;
 
 struct world_options
@@ -56,6 +54,9 @@
     packet_header caller;
     std::string request;
     std::string response;
+    // Sequence numbers that follow what was received and sent.
+    std::uint32_t received_end = 0;
+    std::uint32_t sent_end = 0;
     std::int64_t answers_at = 0;
     // Next time that something unacknowledged is sent again, and how often it was.
     std::int64_t repeats_at = 0;
@@ -74,21 +75,29 @@
     std::string zone;
     address at;
     std::int64_t born = 0;
-    int calls = 0;
     int datagrams = -1;
     int listener = -1;
-    bool is_draining = false;
-    // When the store acknowledged that it drains.
-    std::int64_t drain_acknowledged = 0;
     std::map<std::pair<std::uint32_t, std::uint32_t>, backend_flow> flows;
     std::vector<std::pair<int, std::string>> checks;
 };
 
+// Ports of the routes.
+constexpr std::uint16_t safe_port = 8443;
+constexpr std::uint16_t unsafe_port = 8080;
+constexpr std::uint16_t feed_port = 8444;
+
 // An attempt of a caller; this deployment's callers don't try again.
 struct attempt
 {
     std::uint64_t id = 0;
-    bool is_unsafe = false;
+    std::uint16_t route_port = safe_port;
+    // A flow is kept open for this many requests, with a pause before each further one.
+    int requests_left = 1;
+    // When the current request began, and the sequence number of its first byte.
+    std::int64_t request_began = 0;
+    std::uint32_t sequence = 0;
+    // The server that runs its requests.
+    std::string server;
     std::string zone;
     std::size_t caller = 0;
     std::uint16_t port = 0;
@@ -103,6 +112,8 @@
     std::string received;
     bool is_served = false;
     bool is_over = false;
+    // It was open when the system reset it.
+    bool is_broken = false;
 };
 
 class world
@@ -116,23 +127,22 @@
     // True if all ports could be opened.
     bool is_usable() const;
 
-    // Writes a configuration with the three routes of the traffic and this many others.
-    void write_configuration(std::size_t other_routes);
+    // Writes a configuration with the three routes of the traffic and this many others. The second
+    // service gets this share of one route's new flows; with 0, it is no longer in the split.
+    void write_configuration(std::size_t other_routes, int second_percent = 10);
     backend_server& add_backend(const std::string& service, const std::string& zone);
-    // Writes the entry of a backend server.
-    void write_entry(backend_server& server);
-    void drain(backend_server& server);
-    // Ends a backend server's process, with its flows; it starts again at the same address.
-    void end_process(backend_server& server);
-    bool start_process(backend_server& server);
 
     void start_daemon(daemon_process& process);
     void kill_daemon(daemon_process& process);
+    // Stops a daemon as planned and starts it again once it has ended.
+    void restart_daemon(daemon_process& process);
 
     // Runs everything until this time after the start.
     void run_until(std::int64_t time);
     // Begins or ends the traffic.
     void set_traffic(bool is_on);
+    // Opens a flow for many requests, on the route whose new flows are split over two services.
+    void begin_feed(int requests);
 
     void record(const std::string& line);
     std::int64_t time() const;
@@ -141,16 +151,17 @@
     std::vector<daemon_process> daemons;
     std::vector<std::unique_ptr<backend_server>> backends;
     std::vector<std::unique_ptr<attempt>> attempts;
-    // Opening packets that reached a backend server later than `max_drain_ms` after the store had
-    // acknowledged that it drains, of requests that were sent later than that.
-    std::vector<std::string> late_openings;
 
 private:
+    // Writes the entry of a backend server.
+    void write_entry(const backend_server& server);
+    bool start_process(backend_server& server);
     address make_address(int part, int number, std::uint16_t port) const;
     void probe(daemon_process& process);
     void finish_probe(daemon_process& process, bool is_ready);
     const daemon_process* choose_daemon(const attempt& from) const;
-    void begin_attempt();
+    attempt& begin_attempt(std::uint16_t route_port);
+    void begin_request(attempt& sender);
     void send_if_due(attempt& sender);
     void send_from_caller(attempt& sender, std::uint8_t flags, std::uint32_t sequence,
                           const std::string& data);
