review: case 15, daemons that have lost their history stay on their old list (CONFIG)

Cause: the list is read again with a fixed time for each page, as in case 11; over a link of 10 Mbit/s the page with a large configuration never arrives in time. Nothing in the product.

--- a/review/standin-3/packet.hpp
+++ b/review/standin-3/packet.hpp
@@ -1,4 +1,5 @@
-// The packets that callers and backend servers exchange, as the platform's page describes them.
+// The packets that callers and backend servers exchange, as the platform's page
+// describes them.
 #ifndef REVIEW_STANDIN_3_PACKET_HPP
 #define REVIEW_STANDIN_3_PACKET_HPP
 
@@ -14,7 +15,8 @@
 constexpr std::uint8_t ack_flag = 8;
 constexpr std::uint8_t rst_flag = 128;
 
-// The header is little-endian without gaps, so on a little-endian machine it is copied as it is.
+// The header is little-endian without gaps, so on a little-endian machine it is
+// copied as it is.
 struct packet_header
 {
     std::uint32_t sequence = 0;
--- a/review/standin-3/sockets.hpp
+++ b/review/standin-3/sockets.hpp
@@ -1,4 +1,5 @@
-// Sockets on loopback addresses, and HTTP requests and responses as far as the stand-ins need them.
+// Sockets on loopback addresses, and HTTP requests and responses as far as the
+// stand-ins need them.
 #ifndef REVIEW_STANDIN_3_SOCKETS_HPP
 #define REVIEW_STANDIN_3_SOCKETS_HPP
 
@@ -21,8 +22,8 @@
 int open_datagram_socket(const address& local);
 int open_listener(const address& local);
 int open_connection(const address& remote);
-// Accepts a connection; -1 if there is none. With a small buffer in the kernel, a limited rate of
-// sending is what the peer sees.
+// Accepts a connection; -1 if there is none. With a small buffer in the kernel,
+// a limited rate of sending is what the peer sees.
 int accept_connection(int listener, bool has_small_buffer);
 
 void send_datagram(int socket, const address& to, const std::string& bytes);
@@ -31,7 +32,8 @@
 
 // Appends what the peer has sent. Returns false if the connection is closed.
 bool receive_bytes(int socket, std::string& bytes);
-// Sends at most `limit` bytes and removes them. Returns false if the connection is broken.
+// Sends at most `limit` bytes and removes them. Returns false if the connection
+// is broken.
 bool send_bytes(int socket, std::string& bytes, std::size_t limit);
 
 struct http_request
@@ -41,7 +43,8 @@
     std::string body;
 };
 
-// Takes a complete request from the begin of `bytes`. Returns false if there is none yet.
+// Takes a complete request from the begin of `bytes`. Returns false if there is
+// none yet.
 bool take_request(std::string& bytes, http_request& request);
 std::string make_response(int status, const std::string& headers, const std::string& body);
 
--- a/review/standin-3/store.cpp
+++ b/review/standin-3/store.cpp
@@ -72,6 +72,17 @@
     }
 }
 
+void store::set_quiet(bool quiet)
+{
+    this->is_quiet = quiet;
+}
+
+void store::drop_history()
+{
+    this->history.clear();
+    this->dropped_revision = this->revision;
+}
+
 void store::put(const std::string& key, const std::string& value)
 {
     this->change({{key, value}}, {});
@@ -217,6 +228,10 @@
 
 void store::answer_watch(connection& from)
 {
+    if (this->is_quiet)
+    {
+        return;
+    }
     if (from.after_revision < this->dropped_revision)
     {
         from.is_waiting = false;
--- a/review/standin-3/store.hpp
+++ b/review/standin-3/store.hpp
@@ -1,5 +1,6 @@
-// The platform's metadata store: items, pages, watches, leases, and a history that ends after the
-// time that the settings state. Nothing of it is lost, slow or refused.
+// The platform's metadata store: items, pages, watches, leases, and a history
+// that ends after the time that the settings state. Nothing of it is lost, slow
+// or refused.
 #ifndef REVIEW_STANDIN_3_STORE_HPP
 #define REVIEW_STANDIN_3_STORE_HPP
 
@@ -21,8 +22,8 @@
 class store
 {
 public:
-    // Opens a port for a daemon, with a limit of the bytes that the daemon's link takes per
-    // second; 0 means none. Returns false if that fails.
+    // Opens a port for a daemon, with a limit of the bytes that the daemon's link
+    // takes per second; 0 means none. Returns false if that fails.
     bool open_port(const address& local, double bytes_per_s);
 
     // Writes and removes items in one revision.
@@ -31,6 +32,12 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
+    // While quiet, watches hear nothing.
+    void set_quiet(bool quiet);
+    // Discards the history, so that a watch that needs a part of it is told that
+    // it is gone.
+    void drop_history();
+
     // Receives requests and sends responses.
     void run(std::int64_t now);
 
@@ -89,6 +96,7 @@
     std::int64_t last_run = 0;
     std::int64_t revision = 1;
     std::int64_t dropped_revision = 0;
+    bool is_quiet = false;
     std::int64_t next_lease = 1'000;
     std::map<std::string, item> items;
     std::deque<event> history;
