--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -39,7 +39,7 @@
 constexpr std::int64_t request_limit_ms = 1'000;
 constexpr std::int64_t work_ms = 20;
 constexpr std::uint32_t backend_sequence = 70'000;
-constexpr std::uint32_t route_address = 0xc6120001;
+constexpr std::uint32_t route_address = 0x7f140001;
 constexpr std::int64_t feed_pause_ms = 4'000;
 
 constexpr const char* small_bounds = "StableWindowMs = 4000\nAckMs = 5000\nCatchUpS = 4\nDrainMs = "
@@ -201,14 +201,14 @@
     const std::string counter = R"("Service":"counter")";
     this->version += 3;
     std::string routes =
-        (this->has_previews ? make_route("previews", "198.18.0.1", safe_port, "safe", counter) + ","
+        (this->has_previews ? make_route("previews", "127.20.0.1", safe_port, "safe", counter) + ","
                             : std::string()) +
-        make_route("orders", "198.18.0.1", unsafe_port, "unsafe", counter) + "," +
-        make_route("feed", "198.18.0.1", feed_port, "safe", make_split(second_percent));
+        make_route("orders", "127.20.0.1", unsafe_port, "unsafe", counter) + "," +
+        make_route("feed", "127.20.0.1", feed_port, "safe", make_split(second_percent));
     for (std::size_t i = 0; i < other_routes; ++i)
     {
         const std::string host =
-            "198.18." + std::to_string(1 + i / 200) + "." + std::to_string(1 + i % 200);
+            "127.20." + std::to_string(1 + i / 200) + "." + std::to_string(1 + i % 200);
         routes += "," + make_route("shop-" + std::to_string(i), host, 443, "safe", counter);
     }
     const std::string text = R"({"Version":)" + std::to_string(this->version) + R"(,"Routes":[)" +
