--- a/src/follow/store_follower.cpp
+++ b/src/follow/store_follower.cpp
@@ -8,6 +8,21 @@
 namespace
 {
 
+// Items on a page: about 500.
+constexpr std::size_t max_page_items = 1'000;
+// Names and punctuation of an item's fields, and its numbers.
+constexpr std::size_t item_field_bytes = 160;
+// Base64 encodes three bytes as four.
+constexpr std::size_t encoded_bytes = 4;
+constexpr std::size_t plain_bytes = 3;
+
+// A page ends with the item that exceeds its size. Its size is given as an approximate one, so
+// double is accepted.
+std::size_t max_page_size(const follower_limits& limits)
+{
+    return 2 * encoded_size(limits.page_bytes + limits.max_value_bytes, max_page_items);
+}
+
 void start_read(store_follower& follower)
 {
     follower.is_reading = true;
@@ -26,7 +41,7 @@
     ++follower.failures;
 }
 
-// Everything is read again, since no watch can start at the position reached so far.
+// Everything is read again, since no watch can continue from the position reached so far.
 void handle_lost_history(store_follower& follower, millis now)
 {
     follower.unwatchable_position =
@@ -170,6 +185,11 @@
 
 } // namespace
 
+std::size_t encoded_size(std::size_t item_bytes, std::size_t items)
+{
+    return item_bytes / plain_bytes * encoded_bytes + items * item_field_bytes;
+}
+
 void skip_read(store_follower& follower, const store_position& position)
 {
     if (follower.is_calling || position <= follower.unwatchable_position ||
@@ -199,13 +219,15 @@
     {
         call.kind = store_call_kind::read;
         call.after_key = follower.read_after_key;
-        call.timeout = follower.limits.read_timeout;
+        call.limits = {follower.limits.read_timeout, follower.limits.progress_interval,
+                       max_page_size(follower.limits)};
         return call;
     }
     call.kind = store_call_kind::watch;
     call.after_revision = follower.watched_position.revision;
     call.wait = follower.wants_prompt_response ? millis{} : follower.limits.watch_wait;
-    call.timeout = call.wait + follower.limits.watch_slack;
+    call.limits = {call.wait + follower.limits.watch_slack, follower.limits.progress_interval,
+                   max_page_size(follower.limits)};
     follower.wants_prompt_response = false;
     return call;
 }
@@ -241,6 +263,7 @@
         return;
     }
     follower.failures = 0;
+    updates.as_of = response.begun.value_or(now);
     if (follower.is_reading)
     {
         apply_page(follower, response, updates);
--- a/src/follow/store_follower.hpp
+++ b/src/follow/store_follower.hpp
@@ -3,7 +3,8 @@
 // calls.
 //
 // An idle watch and one on a dead connection look the same, so a watch asks for a response within
-// `watch_wait` even when nothing changed, and times out `watch_slack` later. When the store has
+// `watch_wait` even when nothing changed, and times out `watch_slack` later. A response that has
+// begun is received for as long as it makes progress (transfer_progress.hpp). When the store has
 // compacted the history that a watch needs, or has come back from an older copy, all items are read
 // again. The items of a read are passed on together at its end, when it is known which items no
 // longer exist. A read that is interrupted continues where it stopped, so that many daemons that
@@ -26,6 +27,7 @@
 
 #include "core/clock.hpp"
 #include "follow/store_position.hpp"
+#include "follow/transfer_progress.hpp"
 
 namespace briarbarrow
 {
@@ -39,8 +41,14 @@
     // Time allowed for the response beyond that. The store may be 60 times slower than its usual
     // 4 ms.
     millis watch_slack{600};
-    // Timeout of a call that reads a page.
+    // Time until the response to a call that reads a page begins.
     millis read_timeout{1'000};
+    // A response that has begun makes progress in each interval of this length.
+    millis progress_interval{1'000};
+    // Largest value in the store, and the size from which on a page has no further items. Unit:
+    // bytes.
+    std::size_t max_value_bytes = 1'048'576;
+    std::size_t page_bytes = 1'048'576;
     // Delay of the next watch after changes, so that one call fetches the changes of that time:
     // each call is priced.
     millis watch_batch_delay{100};
@@ -70,12 +78,14 @@
     // No response in time, or the connection broke.
     unreachable,
     // The response can't be decoded.
-    malformed
+    malformed,
+    // The response is larger than the call allows.
+    too_large
 };
 
 // Label values of the metric store_calls_total.
-constexpr std::array<std::string_view, 5> store_outcome_names{"answered", "history_gone", "refused",
-                                                              "unreachable", "garbled"};
+constexpr std::array<std::string_view, 6> store_outcome_names{
+    "answered", "history_gone", "refused", "unreachable", "garbled", "too_large"};
 
 // The response to a read or a watch.
 struct store_response
@@ -90,6 +100,8 @@
     // A read has further pages, which start after this key.
     bool has_more = false;
     std::string last_key;
+    // When the response began to arrive, if it took a while from then on.
+    std::optional<millis> begun;
 };
 
 enum class store_call_kind : std::uint8_t
@@ -126,8 +138,8 @@
     std::uint64_t after_revision = 0;
     // How long the store may hold a watch without changes.
     millis wait;
-    // How long to wait for the response.
-    millis timeout;
+    // How long to wait for the response, and how large it may be.
+    transfer_limits limits;
 };
 
 // Updates from one response.
@@ -138,9 +150,10 @@
     std::vector<store_item> early_items;
     // All current keys, at the end of a read.
     std::optional<std::set<std::string>> listed;
-    // The follower has every change up to `position`, as of now.
+    // The follower has every change up to `position`, as of the begin of the response.
     bool is_complete = false;
     store_position position;
+    millis as_of;
 };
 
 // State of a follower.
@@ -173,6 +186,10 @@
     std::vector<store_item> unreported_items;
 };
 
+// Size of items in responses, which encode bytes as text. `item_bytes` is that of all keys and
+// values. Unit: bytes.
+std::size_t encoded_size(std::size_t item_bytes, std::size_t items);
+
 // Starts watching at a position up to which another daemon has supplied all changes, without a read
 // of its own. Does nothing if the store no longer has the history for that.
 void skip_read(store_follower& follower, const store_position& position);
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -1,8 +1,11 @@
 #include "net/http_channel.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstdint>
 #include <cstring>
+#include <limits>
 #include <utility>
 
 #include <glib-unix.h>
@@ -10,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/monotonic_clock.hpp"
 #include "net/socket_address.hpp"
 
 namespace briarbarrow
@@ -60,10 +64,20 @@
 }
 
 void http_channel::send(const http_request& request, millis timeout, http_receiver receiver)
+{
+    this->send(request, transfer_limits{timeout, std::nullopt, max_http_body_bytes},
+               std::move(receiver));
+}
+
+void http_channel::send(const http_request& request, const transfer_limits& limits,
+                        http_receiver receiver)
 {
     this->receiver = std::move(receiver);
     this->is_request_pending = true;
     this->is_complete = false;
+    this->is_too_large = false;
+    this->limits = limits;
+    this->progress = start_transfer(limits, monotonic_now());
     this->headers = http_headers{};
     this->body.clear();
     this->unsent = format_request(request, this->server);
@@ -71,7 +85,7 @@
     {
         this->close_connection();
     }
-    this->timer = g_timeout_add(static_cast<guint>(timeout.count), on_timeout, this);
+    this->set_timer();
     http_parser_init(&this->parser, HTTP_RESPONSE);
     this->parser.data = this;
     if (this->descriptor < 0 && !this->open())
@@ -158,11 +172,29 @@
     return G_SOURCE_CONTINUE;
 }
 
-gboolean http_channel::on_timeout(gpointer self)
+void http_channel::set_timer()
+{
+    if (this->timer != 0)
+    {
+        g_source_remove(this->timer);
+    }
+    const millis left = this->progress.deadline - monotonic_now();
+    this->timer =
+        g_timeout_add(static_cast<guint>(std::max<std::int64_t>(0, left.count)), on_deadline, this);
+}
+
+gboolean http_channel::on_deadline(gpointer self)
 {
     auto* channel = static_cast<http_channel*>(self);
     channel->timer = 0;
-    channel->fail("no response before the timeout");
+    if (renew_deadline(channel->progress, channel->limits, monotonic_now()))
+    {
+        channel->set_timer();
+        return G_SOURCE_REMOVE;
+    }
+    channel->fail(channel->progress.begun && channel->limits.progress_interval
+                      ? "the response makes no progress"
+                      : "no response before the timeout");
     return G_SOURCE_REMOVE;
 }
 
@@ -191,6 +223,7 @@
     http_parser_settings_init(&settings);
     settings.on_header_field = on_header_name;
     settings.on_header_value = on_header_value;
+    settings.on_headers_complete = on_headers_complete;
     settings.on_body = on_body;
     settings.on_message_complete = on_complete;
     std::array<char, receive_bytes> bytes;
@@ -207,6 +240,10 @@
         return;
     }
     const auto length = static_cast<std::size_t>(count);
+    if (observe_received(this->progress, this->limits, length, monotonic_now()))
+    {
+        this->set_timer();
+    }
     const std::size_t read = http_parser_execute(&this->parser, &settings, bytes.data(), length);
     if (this->is_complete)
     {
@@ -218,12 +255,17 @@
         {
             this->close_connection();
         }
-        this->finish(reply);
+        this->finish(std::move(reply));
         return;
     }
-    if (read != length || this->body.size() > max_http_body_bytes)
+    if (this->is_too_large)
+    {
+        this->fail("the response has more than " + std::to_string(this->limits.max_bytes) +
+                   " bytes");
+    }
+    else if (read != length)
     {
-        this->fail("the response is malformed or too large");
+        this->fail("the response is malformed");
     }
 }
 
@@ -239,9 +281,27 @@
     return add_header_value(channel->headers, {bytes, count}) ? 0 : 1;
 }
 
+// Rejects a body that is announced as too large before it is received.
+int http_channel::on_headers_complete(http_parser* parser)
+{
+    auto* channel = static_cast<http_channel*>(parser->data);
+    constexpr std::uint64_t not_announced = std::numeric_limits<std::uint64_t>::max();
+    channel->is_too_large = parser->content_length != not_announced &&
+                            parser->content_length > channel->limits.max_bytes;
+    // The parser takes a 1 for a response without a body.
+    constexpr int abort_parsing = -1;
+    return channel->is_too_large ? abort_parsing : 0;
+}
+
 int http_channel::on_body(http_parser* parser, const char* bytes, std::size_t count)
 {
-    static_cast<http_channel*>(parser->data)->body.append(bytes, count);
+    auto* channel = static_cast<http_channel*>(parser->data);
+    channel->is_too_large = channel->body.size() + count > channel->limits.max_bytes;
+    if (channel->is_too_large)
+    {
+        return 1;
+    }
+    channel->body.append(bytes, count);
     return 0;
 }
 
@@ -260,12 +320,14 @@
     {
         http_reply reply;
         reply.failure = reason;
-        this->finish(reply);
+        reply.is_too_large = this->is_too_large;
+        this->finish(std::move(reply));
     }
 }
 
-void http_channel::finish(const http_reply& reply)
+void http_channel::finish(http_reply reply)
 {
+    reply.begun = this->progress.begun;
     if (this->timer != 0)
     {
         g_source_remove(this->timer);
--- a/src/net/http_channel.hpp
+++ b/src/net/http_channel.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <glib.h>
@@ -13,6 +14,7 @@
 
 #include "core/address.hpp"
 #include "core/clock.hpp"
+#include "follow/transfer_progress.hpp"
 #include "net/http_headers.hpp"
 
 namespace briarbarrow
@@ -22,12 +24,16 @@
 // before it is encoded in base64, and a page of entries has a megabyte. Unit: bytes.
 constexpr std::size_t max_http_body_bytes = 4'194'304;
 
-// The result of a request. `status` is 0 if no complete response arrived before the timeout.
+// The result of a request. `status` is 0 if no complete response was received.
 struct http_reply
 {
     int status = 0;
     http_headers headers;
     std::string body;
+    // When the response began to arrive.
+    std::optional<millis> begun;
+    // The body is larger than the request allows.
+    bool is_too_large = false;
     // Why there was no complete response, for the log.
     std::string failure;
 };
@@ -53,7 +59,9 @@
     http_channel(const http_channel&) = delete;
     http_channel& operator=(const http_channel&) = delete;
 
-    // Sends a request and passes the result to the receiver. No other request may be pending.
+    // Sends a request and passes the result to the receiver. No other request may be pending. With
+    // a timeout alone, the whole response must have arrived by then.
+    void send(const http_request& request, const transfer_limits& limits, http_receiver receiver);
     void send(const http_request& request, millis timeout, http_receiver receiver);
     void get(const std::string& target, millis timeout, http_receiver receiver);
 
@@ -66,9 +74,10 @@
 
 private:
     static gboolean on_ready(gint descriptor, GIOCondition condition, gpointer self);
-    static gboolean on_timeout(gpointer self);
+    static gboolean on_deadline(gpointer self);
     static int on_header_name(http_parser* parser, const char* bytes, std::size_t count);
     static int on_header_value(http_parser* parser, const char* bytes, std::size_t count);
+    static int on_headers_complete(http_parser* parser);
     static int on_body(http_parser* parser, const char* bytes, std::size_t count);
     static int on_complete(http_parser* parser);
 
@@ -78,7 +87,8 @@
     void watch(GIOCondition condition);
     void send_unsent();
     void receive();
-    void finish(const http_reply& reply);
+    void set_timer();
+    void finish(http_reply reply);
     void fail(const std::string& reason);
 
     endpoint server;
@@ -87,6 +97,9 @@
     guint timer = 0;
     bool is_request_pending = false;
     bool is_complete = false;
+    bool is_too_large = false;
+    transfer_limits limits;
+    transfer_progress progress;
     std::string unsent;
     http_headers headers;
     std::string body;
--- a/src/spread/item_replica.cpp
+++ b/src/spread/item_replica.cpp
@@ -120,6 +120,7 @@
 
 void discard_partial(change_requester& requester)
 {
+    requester.partial_key.clear();
     requester.partial_value.clear();
     requester.cursor.partial_position = {};
     requester.cursor.partial_bytes = 0;
@@ -140,29 +141,55 @@
 bool continues_partial(const change_requester& requester, const item_chunk& chunk)
 {
     return chunk.offset == 0 || (chunk.offset == requester.partial_value.size() &&
-                                 chunk.position == requester.cursor.partial_position);
+                                 chunk.position == requester.cursor.partial_position &&
+                                 chunk.key == requester.partial_key);
 }
 
-// Appends a chunk to the partial value. Returns the item once it is complete.
+// Adds a chunk. Returns the item once it is complete. A complete item leaves the partial value of
+// another item as it is, since that one may still come.
 std::optional<store_item> add_chunk(change_requester& requester, const item_chunk& chunk)
 {
+    const bool is_whole = chunk.offset == 0 && (chunk.is_deleted || is_last_chunk(chunk));
+    if (is_whole)
+    {
+        if (chunk.key == requester.partial_key)
+        {
+            discard_partial(requester);
+        }
+        return store_item{chunk.key, chunk.bytes, chunk.position, chunk.is_deleted};
+    }
     if (chunk.offset == 0)
     {
         discard_partial(requester);
     }
+    requester.partial_key = chunk.key;
     requester.partial_value += chunk.bytes;
-    if (!chunk.is_deleted && !is_last_chunk(chunk))
+    if (!is_last_chunk(chunk))
     {
         requester.cursor.partial_position = chunk.position;
         requester.cursor.partial_bytes = requester.partial_value.size();
         return std::nullopt;
     }
-    store_item change{chunk.key, std::move(requester.partial_value), chunk.position,
-                      chunk.is_deleted};
+    store_item change{chunk.key, std::move(requester.partial_value), chunk.position, false};
     discard_partial(requester);
     return change;
 }
 
+// Starts again from a position. The partial value stays, as its position names the same bytes at
+// every source.
+void restart(change_requester& requester, const store_position& position, bool is_listing)
+{
+    change_requester restarted;
+    restarted.number = requester.number;
+    restarted.cursor.position = position;
+    restarted.cursor.partial_position = requester.cursor.partial_position;
+    restarted.cursor.partial_bytes = requester.cursor.partial_bytes;
+    restarted.partial_key = std::move(requester.partial_key);
+    restarted.partial_value = std::move(requester.partial_value);
+    restarted.is_listing = is_listing;
+    requester = std::move(restarted);
+}
+
 void finish_list(change_requester& requester, response_updates& updates)
 {
     updates.listed.emplace();
@@ -212,10 +239,16 @@
     }
     if (change.is_deleted)
     {
+        replica.item_bytes -= change.key.size() + found->second.value.size();
         replica.items.erase(change.key);
         add_tombstone(replica, change.key, change.position);
         return change_effect::applied;
     }
+    if (found != replica.items.end())
+    {
+        replica.item_bytes -= change.key.size() + found->second.value.size();
+    }
+    replica.item_bytes += change.key.size() + change.value.size();
     replica.items[change.key] = replica_item{change.value, change.position};
     replica.by_position.emplace(change.position, change.key);
     return change_effect::applied;
@@ -234,7 +267,9 @@
     }
     for (const std::string& key : removed)
     {
-        unlink_position(replica, replica.items[key].position, key);
+        const replica_item& item = replica.items[key];
+        replica.item_bytes -= key.size() + item.value.size();
+        unlink_position(replica, item.position, key);
         replica.items.erase(key);
     }
     // What the list lacks may have been an item at a requester, though not here.
@@ -311,11 +346,20 @@
 
 void start_requests(change_requester& requester, const item_replica& replica)
 {
-    const std::uint64_t number = requester.number;
-    requester = change_requester{};
-    requester.number = number;
-    requester.cursor.position = replica.has_list ? replica.position : store_position{};
-    requester.is_listing = !replica.has_list;
+    restart(requester, replica.has_list ? replica.position : store_position{}, !replica.has_list);
+}
+
+void skip_known_changes(change_requester& requester, const item_replica& replica)
+{
+    if (requester.is_listing || replica.position <= requester.cursor.position)
+    {
+        return;
+    }
+    requester.cursor.position = replica.position;
+    if (requester.cursor.partial_position <= replica.position)
+    {
+        discard_partial(requester);
+    }
 }
 
 change_request next_change_request(change_requester& requester)
@@ -336,9 +380,7 @@
     response_updates updates;
     if (must_restart(requester, response))
     {
-        const std::uint64_t number = requester.number;
-        requester = change_requester{};
-        requester.number = number;
+        restart(requester, {}, true);
         updates.needs_request = true;
         return updates;
     }
--- a/src/spread/item_replica.hpp
+++ b/src/spread/item_replica.hpp
@@ -35,7 +35,7 @@
 
 // Progress of a requester: it has everything up to `position`; beyond it, what its source held up
 // to `ahead_position`; and the first `partial_bytes` of the item that was changed at
-// `partial_position`.
+// `partial_position`. The latter are kept when the requester starts again or changes its source.
 struct change_cursor
 {
     store_position position;
@@ -111,6 +111,8 @@
     std::map<std::string, replica_item> items;
     // Keys by the position of their latest change.
     std::multimap<store_position, std::string> by_position;
+    // Size of all keys and values. Unit: bytes.
+    std::size_t item_bytes = 0;
     // Ordered by position.
     std::deque<tombstone> tombstones;
     // Every change up to this position is applied.
@@ -157,7 +159,8 @@
 struct change_requester
 {
     change_cursor cursor;
-    // The chunks received so far of the item at the cursor.
+    // The chunks received so far of the item at the cursor's partial position, and its key.
+    std::string partial_key;
     std::string partial_value;
     // Number of the latest request; raised once its response is accepted.
     std::uint64_t number = 0;
@@ -184,6 +187,10 @@
 // Resets the requester to what a replica already holds.
 void start_requests(change_requester& requester, const item_replica& replica);
 
+// Moves the requester behind the changes that the replica got from elsewhere, unless a complete
+// list is being received.
+void skip_known_changes(change_requester& requester, const item_replica& replica);
+
 // Makes the next request.
 change_request next_change_request(change_requester& requester);
 
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -109,11 +109,13 @@
     }
 }
 
-// The complete list is requested from other daemons only when the store fails to deliver it: many
-// daemons that start at once would overload the few that are already serving callers.
-bool can_request_changes(const replica_sync& sync)
+// The complete list is requested from other daemons only when the store fails to deliver it, or is
+// slow: many daemons that start at once would overload the few that are already serving callers.
+bool can_request_changes(const replica_sync& sync, millis now)
 {
-    return sync.replica.has_list || sync.follower.failures > 0;
+    const bool is_store_slow =
+        sync.follower.is_calling && now > sync.called_at + sync.follower.limits.read_timeout;
+    return sync.replica.has_list || sync.follower.failures > 0 || is_store_slow;
 }
 
 void request_changes_when_due(replica_sync& sync, millis now, sync_actions& actions)
@@ -125,11 +127,7 @@
     if (sync.source && !sync.requested_at && now >= sync.next_request_at)
     {
         // Changes that came from the store meanwhile need not be requested.
-        if (sync.requester.cursor.position < sync.replica.position && !sync.requester.is_listing &&
-            sync.requester.partial_value.empty())
-        {
-            sync.requester.cursor.position = sync.replica.position;
-        }
+        skip_known_changes(sync.requester, sync.replica);
         sync.next_request_at = now + change_request_interval;
         send_change_request(sync, now, actions);
     }
@@ -338,7 +336,7 @@
             decide_watcher_role(sync.peers, sync.peers.self.store_age, sync.avoided, now);
         update_representation(sync, now);
     }
-    switch_source(sync, can_request_changes(sync) ? sync.assigned_role.source : std::nullopt);
+    switch_source(sync, can_request_changes(sync, now) ? sync.assigned_role.source : std::nullopt);
     request_changes_when_due(sync, now, actions);
     call_store_when_due(sync, sync.assigned_role.follows_store, now, actions);
 }
@@ -487,7 +485,8 @@
     if (received.is_complete)
     {
         const bool is_from_before_pause = sync.called_at < sync.resumed_at;
-        confirm(sync, received.position, is_from_before_pause ? sync.paused_at : now, updates);
+        confirm(sync, received.position, is_from_before_pause ? sync.paused_at : received.as_of,
+                updates);
     }
 }
 
--- a/src/testing/net_test.cpp
+++ b/src/testing/net_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -5,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -13,6 +15,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "adapters/http_call.hpp"
 #include "net/http_channel.hpp"
 #include "net/http_responder.hpp"
 #include "net/instance_check.hpp"
@@ -173,6 +176,151 @@
     CHECK(reply.failure == "no response before the timeout");
 }
 
+namespace
+{
+
+// Sends a response to each connection in pieces, one in each interval, and then stays silent.
+class paced_server
+{
+public:
+    paced_server(std::string response, std::size_t piece_bytes, guint interval_ms)
+        : response(std::move(response)), piece_bytes(piece_bytes)
+    {
+        this->timer = g_timeout_add(interval_ms, on_interval, this);
+    }
+
+    ~paced_server()
+    {
+        g_source_remove(this->timer);
+        if (this->connection >= 0)
+        {
+            close(this->connection);
+        }
+    }
+
+    paced_server(const paced_server&) = delete;
+    paced_server& operator=(const paced_server&) = delete;
+
+    const endpoint& address() const
+    {
+        return this->listener.address;
+    }
+
+    std::size_t sent_bytes() const
+    {
+        return this->sent;
+    }
+
+private:
+    static gboolean on_interval(gpointer self)
+    {
+        static_cast<paced_server*>(self)->send_piece();
+        return G_SOURCE_CONTINUE;
+    }
+
+    void send_piece()
+    {
+        if (this->connection < 0)
+        {
+            this->connection =
+                accept4(this->listener.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            return;
+        }
+        const std::size_t count = std::min(this->piece_bytes, this->response.size() - this->sent);
+        const ssize_t written =
+            send(this->connection, this->response.data() + this->sent, count, MSG_NOSIGNAL);
+        this->sent += written > 0 ? static_cast<std::size_t>(written) : 0;
+    }
+
+    unresponsive_server listener;
+    std::string response;
+    std::size_t piece_bytes;
+    std::size_t sent = 0;
+    int connection = -1;
+    guint timer = 0;
+};
+
+std::string make_response(std::size_t announced_bytes, std::size_t body_bytes)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced_bytes) + "\r\n\r\n" +
+           std::string(body_bytes, 'b');
+}
+
+http_reply get(http_channel& channel, const transfer_limits& limits)
+{
+    std::optional<http_reply> received;
+    channel.send({"GET", "/", ""}, limits,
+                 [&received](const http_reply& reply) { received = reply; });
+    run_until([&received]() { return received.has_value(); });
+    return *received;
+}
+
+} // namespace
+
+// A page of the store was given up after a second although bytes kept arriving, for ever.
+TEST_CASE("a large response is received over a slow link for as long as it makes progress")
+{
+    // Ten times as long as the timeout.
+    const std::size_t body_bytes = 20 * 50'000;
+    const paced_server server(make_response(body_bytes, body_bytes), 10'000, 10);
+    http_channel channel(server.address());
+    const http_reply reply = get(channel, {millis{100}, millis{100}, body_bytes});
+    CHECK(reply.status == 200);
+    CHECK(reply.body.size() == body_bytes);
+    CHECK(reply.begun);
+}
+
+// The own port's requests go through another library, whose timeout must not end them either.
+TEST_CASE("own port: a response that keeps arriving for longer than the timeout is received")
+{
+    const std::size_t body_bytes = 26 * 4'000;
+    const paced_server server(make_response(body_bytes, body_bytes), 4'000, 100);
+    SoupSession* session = make_http_session(1);
+    std::optional<std::size_t> received;
+    post_json(session, server.address(), "/", "{}",
+              [&received](const call_result& answer)
+              { received = answer ? answer.value().size() : 0; });
+    run_until([&received]() { return received.has_value(); });
+    CHECK(*received == body_bytes);
+    g_object_unref(session);
+}
+
+TEST_CASE("a response that falls silent or trickles is given up")
+{
+    const paced_server silent(make_response(200'000, 100'000), 50'000, 10);
+    http_channel silent_channel(silent.address());
+    const http_reply from_silent = get(silent_channel, {millis{100}, millis{100}, 200'000});
+    CHECK(from_silent.status == 0);
+    CHECK(from_silent.failure == "the response makes no progress");
+
+    const paced_server trickling(make_response(200'000, 200'000), 20, 5);
+    http_channel trickling_channel(trickling.address());
+    CHECK(get(trickling_channel, {millis{100}, millis{100}, 200'000}).status == 0);
+    CHECK(trickling.sent_bytes() < 5'000);
+}
+
+TEST_CASE("a response that is too large is rejected, before it is received if it says its size")
+{
+    const paced_server announcing(make_response(200'000, 200'000), 10'000, 10);
+    http_channel channel(announcing.address());
+    const http_reply announced = get(channel, {millis{1'000}, millis{1'000}, 199'999});
+    CHECK(announced.status == 0);
+    CHECK(announced.is_too_large);
+    CHECK(announcing.sent_bytes() <= 20'000);
+
+    std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 10; ++i)
+    {
+        chunked += "4e20\r\n" + std::string(20'000, 'b') + "\r\n";
+    }
+    chunked += "0\r\n\r\n";
+    const paced_server unannounced(chunked, 10'000, 10);
+    http_channel chunked_channel(unannounced.address());
+    const http_reply rejected = get(chunked_channel, {millis{1'000}, millis{1'000}, 199'999});
+    CHECK(rejected.status == 0);
+    CHECK(rejected.is_too_large);
+}
+
 TEST_CASE("health checks distinguish an instance from one that reuses its address, is busy or gone")
 {
     std::vector<check_outcome> outcomes;
--- a/src/testing/platform_codec_test.cpp
+++ b/src/testing/platform_codec_test.cpp
@@ -93,6 +93,7 @@
 DrainMs = 3000
 [platform]
 Address = "10.200.1.7:8169"
+ValueBytes = 524288
 )";
 
 } // namespace
@@ -330,6 +331,7 @@
     REQUIRE(settings.value().seeds.size() == 2);
     CHECK(to_string(settings.value().seeds[1]) == "10.2.0.40:7720");
     CHECK(settings.value().stop_grace_period == millis{6'000});
+    CHECK(settings.value().max_value_bytes == 524'288);
     REQUIRE(settings.value().metrics_endpoint);
     CHECK(to_string(*settings.value().metrics_endpoint) == "10.1.0.10:7735");
     const settings_file one_port(with_replaced(good_settings, "[7720,7735]", "[7720]"));
--- a/src/testing/replica_fleet.hpp
+++ b/src/testing/replica_fleet.hpp
@@ -37,6 +37,17 @@
     return store_item{key, value, {0, revision}, false};
 }
 
+// Size of a response's items as the store encodes them. Unit: bytes.
+inline std::size_t encoded_size(const store_response& response)
+{
+    std::size_t item_bytes = 0;
+    for (const store_item& item : response.items)
+    {
+        item_bytes += item.key.size() + item.value.size();
+    }
+    return encoded_size(item_bytes, response.items.size());
+}
+
 inline std::map<std::string, std::string> values_of(const item_replica& replica)
 {
     std::map<std::string, std::string> values;
@@ -56,8 +67,9 @@
     std::uint64_t oldest = 0;
     std::uint64_t era = 1;
     bool is_down = false;
-    // Items on one page of a read.
+    // Items on one page of a read, and the bytes with which it ends.
     std::size_t page_items = 500;
+    std::size_t page_bytes = 1'000'000;
     // Bytes that the store's link takes in a millisecond; 0 stands for no limit.
     std::size_t link_bytes_per_ms = 0;
     millis link_free_at;
@@ -143,9 +155,13 @@
         if (call.kind == store_call_kind::read)
         {
             auto item = this->items.upper_bound(call.after_key);
-            for (; item != this->items.end() && response.items.size() < this->page_items; ++item)
+            std::size_t bytes = 0;
+            for (; item != this->items.end() && response.items.size() < this->page_items &&
+                   bytes < this->page_bytes;
+                 ++item)
             {
                 response.items.push_back(item->second);
+                bytes += item->first.size() + item->second.value.size();
             }
             response.has_more = item != this->items.end();
             response.last_key = response.items.empty() ? "" : response.items.back().key;
@@ -180,6 +196,16 @@
         // The response to the call, on its way.
         std::optional<store_response> response;
         millis response_due;
+        std::size_t unreceived_bytes = 0;
+        transfer_progress progress;
+        // Bytes that arrive from the store in a millisecond, and bytes of datagrams that the
+        // daemon's link takes; 0 stands for no limit.
+        std::size_t store_bytes_per_ms = 0;
+        std::size_t link_bytes_per_ms = 0;
+        // When the datagrams sent so far have passed the link. Unit: milliseconds.
+        double uplink_free_at = 0;
+        std::uint64_t too_large = 0;
+        std::uint64_t given_up = 0;
     };
 
     struct packet
@@ -216,22 +242,96 @@
                            static_cast<std::uint64_t>(number) + 1);
     }
 
+    void kill(member& daemon)
+    {
+        daemon.is_up = false;
+        daemon.call.reset();
+        daemon.response.reset();
+    }
+
+    // Starts a daemon that was killed: it knows nothing of before.
+    void start(member& daemon)
+    {
+        peer_report self;
+        self.address = daemon.sync.peers.self.address;
+        self.zone = daemon.sync.peers.self.zone;
+        self.started = this->now.count;
+        daemon.sync = replica_sync{};
+        start_replica_sync(daemon.sync, self, {address_of(0), address_of(1)}, this->random());
+        daemon.is_up = true;
+    }
+
+    // Time that a datagram takes over its sender's link.
+    millis transmit(member& from, std::size_t bytes) const
+    {
+        if (from.link_bytes_per_ms == 0)
+        {
+            return millis{};
+        }
+        const auto begin = std::max(from.uplink_free_at, static_cast<double>(this->now.count));
+        from.uplink_free_at =
+            begin + static_cast<double>(bytes) / static_cast<double>(from.link_bytes_per_ms);
+        return millis{static_cast<std::int64_t>(from.uplink_free_at) - this->now.count};
+    }
+
     void send_actions(member& from, const sync_actions& actions)
     {
         for (const outgoing_datagram& datagram : actions.datagrams)
         {
+            const millis transmission = this->transmit(from, datagram.bytes.size());
             const bool is_lost =
                 std::uniform_real_distribution<>(0, 1)(this->random) < this->loss_rate;
             if (!is_lost)
             {
-                this->packets.push_back({this->now + millis{1}, from.sync.peers.self.address,
-                                         datagram.to, datagram.bytes});
+                this->packets.push_back({this->now + transmission + millis{1},
+                                         from.sync.peers.self.address, datagram.to,
+                                         datagram.bytes});
             }
         }
         if (actions.call)
         {
             from.call = actions.call;
             from.called_at = this->now;
+            from.progress = start_transfer(actions.call->limits, this->now);
+        }
+    }
+
+    void finish_call(member& daemon, const store_response& response)
+    {
+        daemon.call.reset();
+        daemon.response.reset();
+        daemon.too_large += response.outcome == store_outcome::too_large ? 1 : 0;
+        daemon.given_up += response.outcome == store_outcome::unreachable ? 1 : 0;
+        sync_updates updates;
+        handle_store_response(daemon.sync, response, this->now, updates);
+        this->pass_updates(daemon, updates);
+    }
+
+    void begin_response(member& daemon)
+    {
+        daemon.response = this->store.respond(*daemon.call);
+        daemon.response_due = this->store.transmit(*daemon.response, this->now);
+        daemon.unreceived_bytes = encoded_size(*daemon.response);
+        if (daemon.unreceived_bytes > daemon.call->limits.max_bytes)
+        {
+            store_response rejected;
+            rejected.outcome = store_outcome::too_large;
+            this->finish_call(daemon, rejected);
+        }
+    }
+
+    void receive_response(member& daemon)
+    {
+        const std::size_t arrived =
+            daemon.store_bytes_per_ms == 0
+                ? daemon.unreceived_bytes
+                : std::min(daemon.unreceived_bytes, daemon.store_bytes_per_ms);
+        daemon.unreceived_bytes -= arrived;
+        observe_received(daemon.progress, daemon.call->limits, arrived, this->now);
+        if (daemon.unreceived_bytes == 0)
+        {
+            daemon.response->begun = daemon.progress.begun;
+            this->finish_call(daemon, store_response(*daemon.response));
         }
     }
 
@@ -250,29 +350,22 @@
             return;
         }
         const bool wait_elapsed = this->now >= daemon.called_at + daemon.call->wait;
-        if (!daemon.reaches_store)
+        const bool is_limited = !daemon.reaches_store || daemon.store_bytes_per_ms > 0;
+        if (is_limited && this->now >= daemon.progress.deadline &&
+            !renew_deadline(daemon.progress, daemon.call->limits, this->now))
         {
-            if (this->now >= daemon.called_at + daemon.call->timeout)
-            {
-                daemon.call.reset();
-                sync_updates updates;
-                handle_store_response(daemon.sync, store_response{}, this->now, updates);
-            }
+            this->finish_call(daemon, store_response{});
             return;
         }
-        if (!daemon.response && this->now > daemon.called_at + this->store.response_delay &&
+        if (daemon.reaches_store && !daemon.response &&
+            this->now > daemon.called_at + this->store.response_delay &&
             (wait_elapsed || this->store.has_response(*daemon.call)))
         {
-            daemon.response = this->store.respond(*daemon.call);
-            daemon.response_due = this->store.transmit(*daemon.response, this->now);
+            this->begin_response(daemon);
         }
-        if (daemon.response && this->now >= daemon.response_due)
+        if (daemon.reaches_store && daemon.response && this->now >= daemon.response_due)
         {
-            daemon.call.reset();
-            sync_updates updates;
-            handle_store_response(daemon.sync, *daemon.response, this->now, updates);
-            daemon.response.reset();
-            this->pass_updates(daemon, updates);
+            this->receive_response(daemon);
         }
     }
 
--- a/src/testing/spread_test.cpp
+++ b/src/testing/spread_test.cpp
@@ -113,6 +113,79 @@
     }
 }
 
+// A requester that lost its source began a large item anew each time.
+TEST_CASE("the chunks of an item are kept when the requester changes its source or starts again")
+{
+    const std::string value = std::string(500'000, 'x') + std::string(500'000, 'y');
+    item_replica first;
+    apply_change(first, put("a", "1", 3));
+    apply_change(first, put("large", value, 5));
+    apply_change(first, put("z", "1", 6));
+    confirm_replica(first, {0, 6}, millis{0});
+    item_replica second = first;
+    // Its tombstones are another daemon's.
+    second.oldest_position = {0, 4};
+    for (const bool is_listing : {true, false})
+    {
+        CAPTURE(is_listing);
+        item_replica copy;
+        if (!is_listing)
+        {
+            apply_change(copy, put("a", "1", 3));
+            confirm_replica(copy, {0, 4}, millis{0});
+        }
+        change_requester requester;
+        start_requests(requester, copy);
+        int responses = 0;
+        bool is_complete = false;
+        while (!is_complete && responses < 2'000)
+        {
+            // The source changes every 100 responses.
+            if (responses % 100 == 99)
+            {
+                start_requests(requester, copy);
+            }
+            const item_replica& source = responses / 100 % 2 == 0 ? first : second;
+            const std::optional<response_updates> updates = apply_change_response(
+                requester, make_change_response(source, next_change_request(requester), millis{1}));
+            REQUIRE(updates);
+            for (const store_item& change : updates->changes)
+            {
+                apply_change(copy, change);
+            }
+            is_complete = updates->is_complete;
+            ++responses;
+        }
+        CHECK(values_of(copy) == values_of(first));
+        // About 1,000 bytes fit into each.
+        CHECK(responses < 1'000);
+    }
+}
+
+// A transaction's items have one position, and sources may send them in different orders.
+TEST_CASE("a chunk does not continue another item that was written at the same position")
+{
+    item_replica first;
+    apply_change(first, put("a", std::string(5'000, 'a'), 5));
+    apply_change(first, put("b", std::string(7'000, 'b'), 5));
+    confirm_replica(first, {0, 5}, millis{0});
+    item_replica second;
+    apply_change(second, put("b", std::string(7'000, 'b'), 5));
+    apply_change(second, put("a", std::string(5'000, 'a'), 5));
+    confirm_replica(second, {0, 5}, millis{0});
+    item_replica copy;
+    change_requester requester;
+    start_requests(requester, copy);
+    for (int i = 0; i < 3; ++i)
+    {
+        REQUIRE(apply_change_response(
+            requester, make_change_response(first, next_change_request(requester), millis{1})));
+    }
+    start_requests(requester, copy);
+    request_until_complete(second, copy, requester, millis{1});
+    CHECK(values_of(copy) == values_of(first));
+}
+
 TEST_CASE("an outdated change does not restore an item that was deleted since")
 {
     item_replica replica;
--- a/src/testing/store_follower_test.cpp
+++ b/src/testing/store_follower_test.cpp
@@ -87,7 +87,7 @@
     const store_call watch = driver.call();
     CHECK(watch.kind == store_call_kind::watch);
     CHECK(watch.after_revision == 7);
-    CHECK(watch.timeout > watch.wait);
+    CHECK(watch.limits.timeout > watch.wait);
 }
 
 TEST_CASE("a watch starts from the revision of a read's first page, since pages are not a snapshot")
@@ -300,3 +300,15 @@
     CHECK(watch.kind == store_call_kind::watch);
     CHECK(watch.after_revision == 3);
 }
+
+// A list was taken for current as of the end of a response that took seconds to arrive.
+TEST_CASE("a list is current as of the begin of the response that completes it")
+{
+    follower_driver driver;
+    driver.call();
+    store_response slow = response_with(7, {item("a", 3)});
+    slow.begun = driver.now;
+    const millis begun = driver.now;
+    driver.now = driver.now + millis{3'000};
+    CHECK(driver.handle(slow).as_of == begun);
+}
