--- a/src/tagged/backend_directory.cpp
+++ b/src/tagged/backend_directory.cpp
@@ -21,6 +21,13 @@
     const known_backend& entry = directory.entries[index];
     std::vector<backend_index>& members = directory.by_service[entry.service];
     members.erase(std::remove(members.begin(), members.end(), index), members.end());
+    const auto [begin, end] = directory.by_identity.equal_range(entry.tag & tag_identity_mask);
+    const auto identity = std::find_if(
+        begin, end, [index](const auto& candidate) { return candidate.second == index; });
+    if (identity != end)
+    {
+        directory.by_identity.erase(identity);
+    }
     const auto owner = directory.by_tag.find(tag_key(entry.service, entry.tag));
     if (owner != directory.by_tag.end() && owner->second == index)
     {
@@ -33,6 +40,7 @@
 {
     const known_backend& entry = directory.entries[index];
     directory.by_service[entry.service].push_back(index);
+    directory.by_identity.emplace(entry.tag & tag_identity_mask, index);
     const auto [owner, is_new] =
         directory.by_tag.try_emplace(tag_key(entry.service, entry.tag), index);
     if (!is_new && entry.registration.name < directory.entries[owner->second].registration.name)
@@ -205,6 +213,43 @@
     return is_match ? std::optional(found->second) : std::nullopt;
 }
 
+identity_owners find_owners(const backend_directory& directory, std::uint32_t identity)
+{
+    identity_owners owners;
+    const auto [begin, end] = directory.by_identity.equal_range(identity);
+    for (auto candidate = begin; candidate != end; ++candidate)
+    {
+        const known_backend& entry = directory.entries[candidate->second];
+        const auto owner = directory.by_tag.find(tag_key(entry.service, entry.tag));
+        if (owner == directory.by_tag.end() || owner->second != candidate->second)
+        {
+            continue;
+        }
+        owners.is_any_listed = owners.is_any_listed || entry.phase != backend_phase::unlisted;
+        owners.are_several = owners.are_several || owners.sole;
+        owners.sole = owners.are_several ? std::nullopt : std::optional(candidate->second);
+    }
+    return owners;
+}
+
+void set_entry_unusable(backend_directory& directory, const std::string& name, bool is_unusable)
+{
+    const std::uint32_t identity = tag_of(name) & tag_identity_mask;
+    if (is_unusable)
+    {
+        directory.unusable_identities.insert(identity);
+    }
+    else
+    {
+        directory.unusable_identities.erase(identity);
+    }
+}
+
+bool is_identity_unusable(const backend_directory& directory, std::uint32_t identity)
+{
+    return directory.unusable_identities.count(identity) > 0;
+}
+
 const std::vector<backend_index>& backends_of(const backend_directory& directory,
                                               service_id service)
 {
--- a/src/tagged/backend_directory.hpp
+++ b/src/tagged/backend_directory.hpp
@@ -2,10 +2,11 @@
 // by which packets name them.
 //
 // A tag is the 32-bit hash of a backend server's name, so that all daemons agree on it without
-// communication. It is looked up only within a service: a tag of another service, or one that a
-// caller made up, matches nothing. Packets carry it in several forms (tag_form.hpp), which have its
-// identity in common. If two names of a service have the same one, the lexicographically smaller
-// name owns it and the other gets no flows.
+// communication. Packets carry it in several forms (tag_form.hpp), which have its identity in
+// common. It is looked up within the services of a route. Among all services only a form is looked
+// up that a caller can't have made up or taken from another flow by accident. If two names of a
+// service have the same identity, the lexicographically smaller name owns it and the other gets no
+// flows.
 //
 // A draining backend server gets no new flows as soon as its entry says so, and none any more in
 // this incarnation: the store may come back from a copy with an older entry. An entry that
@@ -21,6 +22,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/address.hpp"
@@ -128,6 +130,10 @@
     std::unordered_map<std::string, backend_index> by_name;
     // By service and identity of the tag.
     std::unordered_map<std::uint64_t, backend_index> by_tag;
+    // By identity of the tag; backend servers of different services may have the same.
+    std::unordered_multimap<std::uint32_t, backend_index> by_identity;
+    // Identities of names whose entries can't be used: nothing is known of these backend servers.
+    std::unordered_set<std::uint32_t> unusable_identities;
     std::unordered_map<service_id, std::vector<backend_index>> by_service;
     evacuated_zones evacuated;
 };
@@ -172,6 +178,24 @@
 std::optional<backend_index> find_by_tag_identity(const backend_directory& directory,
                                                   service_id service, std::uint32_t identity);
 
+// The backend servers with an identity, whatever their service.
+struct identity_owners
+{
+    // The only one, if there is just one.
+    std::optional<backend_index> sole;
+    bool are_several = false;
+    // One of them has an entry in the store.
+    bool is_any_listed = false;
+};
+
+identity_owners find_owners(const backend_directory& directory, std::uint32_t identity);
+
+// Records whether the entry of a backend server is there but can't be used.
+void set_entry_unusable(backend_directory& directory, const std::string& name, bool is_unusable);
+
+// True when the entry of a backend server with this identity can't be used.
+bool is_identity_unusable(const backend_directory& directory, std::uint32_t identity);
+
 // The backend servers of a service, in the order in which they became known.
 const std::vector<backend_index>& backends_of(const backend_directory& directory,
                                               service_id service);
--- a/src/tagged/router_lists.cpp
+++ b/src/tagged/router_lists.cpp
@@ -122,6 +122,7 @@
 void apply_backend_registration(router_state& state, const backend_registration& registration,
                                 millis now)
 {
+    set_entry_unusable(state.backends, registration.name, false);
     const registration_effect effect = apply_registration(state.backends, registration, now);
     if (effect == registration_effect::none)
     {
@@ -139,8 +140,15 @@
              " warm_up_ms=" + std::to_string(registration.warm_up_remaining.count)});
 }
 
+void handle_unusable_entry(router_state& state, const std::string& name, millis now)
+{
+    handle_backend_unlisted(state, name, now);
+    set_entry_unusable(state.backends, name, true);
+}
+
 void handle_backend_unlisted(router_state& state, const std::string& name, millis now)
 {
+    set_entry_unusable(state.backends, name, false);
     if (mark_unlisted(state.backends, name, now))
     {
         state.state_changes.push_back(
--- a/src/tagged/router_locations.cpp
+++ b/src/tagged/router_locations.cpp
@@ -42,13 +42,38 @@
     return std::nullopt;
 }
 
+// The backend server of a flow of the route with this identity. The flow may have been placed by a
+// version of the route that this process never had, so that of any service is taken.
+std::optional<backend_index> find_placed_backend(const router_state& state,
+                                                 const known_route& known, std::uint32_t identity)
+{
+    const std::optional<backend_index> allowed = find_identity(state, known, identity);
+    return allowed ? allowed : find_owners(state.backends, identity).sole;
+}
+
+// True when a backend server with this identity has an entry, whatever its service.
+bool is_listed(const router_state& state, std::uint32_t identity)
+{
+    return find_owners(state.backends, identity).is_any_listed ||
+           is_identity_unusable(state.backends, identity);
+}
+
 // The backend server that the tag of an opening packet with this sequence number names.
 std::optional<backend_index> find_opening_backend(const router_state& state,
                                                   const known_route& known, std::uint32_t tag,
                                                   std::uint32_t opening_sequence)
 {
     const std::optional<std::uint32_t> identity = read_opening_tag(tag, opening_sequence);
-    return identity ? find_identity(state, known, *identity) : std::nullopt;
+    return identity ? find_placed_backend(state, known, *identity) : std::nullopt;
+}
+
+// The backend server that an entry of the list of contested flows names.
+std::optional<backend_index> find_recorded_backend(const router_state& state,
+                                                   const known_route& known, std::uint32_t tag)
+{
+    const std::optional<backend_index> found =
+        find_placed_backend(state, known, tag & tag_identity_mask);
+    return found && state.backends.entries[*found].tag == tag ? found : std::nullopt;
 }
 
 std::optional<backend_index> find_plain_backend(const router_state& state, const known_route& known,
@@ -72,14 +97,18 @@
 {
     tag_claim claim;
     claim.form = tag_form::opening;
-    for (std::uint32_t before = 0; before < max_packets_in_flight; ++before)
+    for (std::uint32_t before = 0; before < max_packets_in_flight && !claim.backend; ++before)
     {
         const std::uint32_t opening_sequence = packet.sequence - 1 - before * max_packet_payload;
-        claim.backend = find_opening_backend(state, known, packet.tag, opening_sequence);
+        const std::optional<std::uint32_t> identity =
+            read_opening_tag(packet.tag, opening_sequence);
+        // Each further number is one more chance to match by accident, so behind other packets only
+        // the route's services are looked up.
+        claim.backend = before == 0 ? find_placed_backend(state, known, *identity)
+                                    : find_identity(state, known, *identity);
         if (claim.backend)
         {
             claim.opening_sequence = opening_sequence;
-            break;
         }
     }
     return claim;
@@ -125,8 +154,13 @@
         return read_opening_claim(state, known, packet);
     }
     const std::optional<std::uint32_t> identity = read_open_tag(packet.tag);
-    claim.backend = identity ? find_identity(state, known, *identity) : std::nullopt;
+    if (identity)
+    {
+        claim.backend = find_placed_backend(state, known, *identity);
+    }
     claim.form = claim.backend ? tag_form::open : tag_form::plain;
+    claim.may_be_alive = !claim.backend && (is_listed(state, packet.tag & tag_identity_mask) ||
+                                            (identity && is_listed(state, *identity)));
     return claim;
 }
 
@@ -174,7 +208,7 @@
         find_contested_flow(state.contested, key, state.settings.max_flow_age, now);
     if (entry != nullptr && is_entry_of_flow(state, known, *entry, packet, claim))
     {
-        return {find_plain_backend(state, known, entry->tag), true, std::nullopt};
+        return {find_recorded_backend(state, known, entry->tag), true, std::nullopt};
     }
     if (claim.form != tag_form::opening)
     {
--- a/src/tagged/router_parts.hpp
+++ b/src/tagged/router_parts.hpp
@@ -66,8 +66,11 @@
 struct tag_claim
 {
     tag_form form = tag_form::plain;
-    // The backend server that it names; none if it names no known one of the route's services.
+    // The backend server that it names, if that is known. A plain tag names one of the route's
+    // services only.
     std::optional<backend_index> backend;
+    // It names no backend server that packets may follow it to, but one whose entry is there.
+    bool may_be_alive = false;
     // Of the tag of an opening packet, if this packet may begin the caller's stream: the sequence
     // number of the opening packet.
     std::optional<std::uint32_t> opening_sequence;
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -84,14 +84,15 @@
     return remember_flow(state.flows, key, opened_at, now);
 }
 
-// Handles a packet whose tag matches no listed backend server. It is dropped until it is certain
-// that the backend server does not exist, and reset from then on.
+// Handles a packet whose tag shows no backend server that it may go to. It is dropped until it is
+// certain that the backend server does not exist, and reset from then on.
 packet_decision route_unknown_tag(router_state& state, remembered_flow& flow,
-                                  const tagged_packet& packet, millis now)
+                                  const tagged_packet& packet, const tag_claim& claim, millis now)
 {
     flow.last_packet = now;
     const bool is_certain =
-        has_fresh_lists(state, now) && now > flow.first_seen + unknown_tag_timeout &&
+        !claim.may_be_alive && has_fresh_lists(state, now) &&
+        now > flow.first_seen + unknown_tag_timeout &&
         state.lists_fresh_since + unknown_tag_timeout + expiry_grace_period < now;
     return is_certain ? decide_reset(packet, verdict_reason::dead_tag)
                       : decide(packet_verdict::drop, verdict_reason::tag_not_known);
@@ -325,7 +326,7 @@
         flow->stage = flow_stage::open;
     }
     packet_decision decision = flow->backend == no_backend
-                                   ? route_unknown_tag(state, *flow, packet, now)
+                                   ? route_unknown_tag(state, *flow, packet, claim, now)
                                    : route_established(state, *flow, packet, reason, now);
     decision.answer_time = answer_time;
     return decision;
--- a/src/tagged/tag_router.hpp
+++ b/src/tagged/tag_router.hpp
@@ -373,9 +373,11 @@
 // Applies a newer list of routes; ignores an older one.
 void apply_route_list(router_state& state, const route_list& list);
 
-// Applies a backend server's registration in the store, or its absence.
+// Applies a backend server's registration in the store, an entry that can't be used, or the absence
+// of both.
 void apply_backend_registration(router_state& state, const backend_registration& registration,
                                 millis now);
+void handle_unusable_entry(router_state& state, const std::string& name, millis now);
 void handle_backend_unlisted(router_state& state, const std::string& name, millis now);
 
 // Applies an operator's order to evacuate a zone, or its withdrawal, which the store held at
--- a/src/testing/idle_flow_fleet.cpp
+++ b/src/testing/idle_flow_fleet.cpp
@@ -9,6 +9,8 @@
 constexpr std::int64_t readiness_check_interval_ms = 500;
 constexpr int readiness_misses = 2;
 constexpr std::int64_t first_opening_ms = 2'000;
+constexpr const char* second_service = "orders-next";
+constexpr std::uint32_t all_flows = 100;
 
 } // namespace
 
@@ -27,19 +29,55 @@
     start_router(daemon.router, settings, this->now());
     daemon.is_earlier_version = this->options.is_update && this->now_ms == 0;
     daemon.router.writes_tag_forms = !this->options.is_update;
-    apply_route_list(daemon.router, make_routes(1));
+    this->apply_split(index);
     for (std::size_t i = 0; i < this->servers.size(); ++i)
     {
-        apply_backend_registration(
-            daemon.router,
-            make_backend("i-" + std::to_string(100 + i), "orders", static_cast<int>(i)),
-            this->now());
+        const bool is_second = i >= this->servers.size() - this->options.second_backends;
+        apply_backend_registration(daemon.router,
+                                   make_backend("i-" + std::to_string(100 + i),
+                                                is_second ? second_service : "orders",
+                                                static_cast<int>(i)),
+                                   this->now());
     }
     confirm_lists(daemon.router, this->now());
 }
 
+// Applies the newest version of the routes.
+void idle_flow_fleet::apply_split(std::size_t index)
+{
+    route_list list = make_routes(this->split_version + 1);
+    const std::uint32_t share =
+        this->split_version == 0
+            ? 0
+            : this->options.split_changes[this->split_version - 1].second_share;
+    if (share > 0)
+    {
+        list.routes.front().services = {{service_id_of("orders"), all_flows - share},
+                                        {service_id_of(second_service), share}};
+    }
+    apply_route_list(this->daemons[index].router, list);
+}
+
 void idle_flow_fleet::schedule_disruptions()
 {
+    for (const split_change& change : this->options.split_changes)
+    {
+        this->at(change.at, [this]() { ++this->split_version; });
+        for (std::size_t i = 0; i < this->daemons.size(); ++i)
+        {
+            const auto delay_ms =
+                static_cast<std::int64_t>(mix(this->options.seed, i) %
+                                          static_cast<std::uint64_t>(this->options.split_delay_ms));
+            this->at(change.at + 1 + delay_ms,
+                     [this, i]()
+                     {
+                         if (this->daemons[i].is_up)
+                         {
+                             this->apply_split(i);
+                         }
+                     });
+        }
+    }
     for (const process_window& pause : this->options.paused_daemons)
     {
         this->at(pause.begin, [this, pause]() { this->daemons[pause.index].is_paused = true; });
@@ -248,7 +286,8 @@
     tagged_packet packet = arrived.packet;
     packet.waited = this->now() - arrived.arrived;
     const bool is_plain =
-        find_by_tag(daemon.router.backends, service_id_of("orders"), packet.tag).has_value();
+        find_by_tag(daemon.router.backends, service_id_of("orders"), packet.tag) ||
+        find_by_tag(daemon.router.backends, service_id_of(second_service), packet.tag);
     if (daemon.is_earlier_version && !is_plain)
     {
         packet.tag = tag_of("unknown");
--- a/src/testing/idle_flow_fleet.hpp
+++ b/src/testing/idle_flow_fleet.hpp
@@ -23,6 +23,14 @@
     std::int64_t end = 0;
 };
 
+// A version of the route that shares its flows between its own service and a second one.
+struct split_change
+{
+    std::int64_t at = 0;
+    // Out of 100 flows; with none the second service is no longer part of the route.
+    std::uint32_t second_share = 0;
+};
+
 // Size, load and disruptions of a run.
 struct idle_flow_options
 {
@@ -32,6 +40,11 @@
     // its daemons is in rotation.
     std::size_t away_daemons = 0;
     std::size_t backends = 8;
+    // So many of them are of the second service.
+    std::size_t second_backends = 0;
+    // In the order of their times. Each daemon has a change within `split_delay_ms`.
+    std::vector<split_change> split_changes;
+    std::int64_t split_delay_ms = 300;
     std::size_t flows = 400;
     std::int64_t opening_interval_ms = 20;
     // Time between an answer and the next request.
--- a/src/testing/idle_flow_parts.hpp
+++ b/src/testing/idle_flow_parts.hpp
@@ -102,6 +102,7 @@
     }
 
     void start_daemon(std::size_t index);
+    void apply_split(std::size_t index);
     void schedule_disruptions();
     void check_readiness();
     void tick(std::size_t index);
@@ -138,6 +139,8 @@
 
     idle_flow_options options;
     std::int64_t now_ms = 0;
+    // Split changes that were made so far.
+    std::size_t split_version = 0;
     // When a daemon of an earlier version was up last.
     std::int64_t earlier_version_seen_ms = 0;
     std::multimap<std::int64_t, std::function<void()>> events;
