--- a/src/follow/store_follower.cpp
+++ b/src/follow/store_follower.cpp
@@ -227,7 +227,7 @@
     call.after_revision = follower.watched_position.revision;
     call.wait = follower.wants_prompt_response ? millis{} : follower.limits.watch_wait;
     call.limits = {call.wait + follower.limits.watch_slack, follower.limits.progress_interval,
-                   max_page_size(follower.limits)};
+                   std::max(encoded_size(follower.limits.max_value_bytes, 1), follower.list_bytes)};
     follower.wants_prompt_response = false;
     return call;
 }
@@ -243,7 +243,10 @@
         return;
     }
     follower.era = response.store_era.value_or(follower.era);
-    if (response.outcome == store_outcome::history_compacted || !is_of_same_history(follower))
+    const bool can_not_watch =
+        response.outcome == store_outcome::history_compacted ||
+        (response.outcome == store_outcome::too_large && !follower.is_reading);
+    if (can_not_watch || !is_of_same_history(follower))
     {
         handle_lost_history(follower, now);
         return;
--- a/src/follow/store_follower.hpp
+++ b/src/follow/store_follower.hpp
@@ -4,7 +4,9 @@
 //
 // An idle watch and one on a dead connection look the same, so a watch asks for a response within
 // `watch_wait` even when nothing changed, and times out `watch_slack` later. A response that has
-// begun is received for as long as it makes progress (transfer_progress.hpp). When the store has
+// begun is received for as long as it makes progress (transfer_progress.hpp). The response to a
+// watch holds each change since its position, also those that later ones replaced; if it is larger
+// than the list, the list is read instead. When the store has
 // compacted the history that a watch needs, or has come back from an older copy, all items are read
 // again. The items of a read are passed on together at its end, when it is known which items no
 // longer exist. A read that is interrupted continues where it stopped, so that many daemons that
@@ -168,6 +170,8 @@
     std::uint32_t failures = 0;
     // The next watch doesn't wait for changes.
     bool wants_prompt_response = false;
+    // Size of all current items as responses hold them. Unit: bytes.
+    std::size_t list_bytes = 0;
     read_order order;
     read_phase phase = read_phase::first_page;
     // Where the next page starts, and where the first one ended.
--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -143,6 +143,7 @@
     {
         skip_read(sync.follower, sync.replica.position);
     }
+    sync.follower.list_bytes = encoded_size(sync.replica.item_bytes, sync.replica.items.size());
     actions.call = next_store_call(sync.follower, now);
     sync.called_at = actions.call ? now : sync.called_at;
 }
--- a/src/testing/cold_start_test.cpp
+++ b/src/testing/cold_start_test.cpp
@@ -122,7 +122,7 @@
 // entries, which takes the store's link 2.4 seconds.
 TEST_CASE("cold start: a large fleet serves within a second after all daemons were killed")
 {
-    for (const std::pair<int, int> size : {std::pair{5, 18}, {30, 300}, {300, 3'000}})
+    for (const std::pair<int, int>& size : {std::pair{5, 18}, {30, 300}, {300, 3'000}})
     {
         starting_fleet starting(size.first, size.second);
         starting.fleet.run(4'000);
--- a/src/testing/net_test.cpp
+++ b/src/testing/net_test.cpp
@@ -261,7 +261,7 @@
 TEST_CASE("a large response is received over a slow link for as long as it makes progress")
 {
     // Ten times as long as the timeout.
-    const std::size_t body_bytes = 20 * 50'000;
+    const std::size_t body_bytes = 1'000'000;
     const paced_server server(make_response(body_bytes, body_bytes), 10'000, 10);
     http_channel channel(server.address());
     const http_reply reply = get(channel, {millis{100}, millis{100}, body_bytes});
@@ -273,7 +273,7 @@
 // The own port's requests go through another library, whose timeout must not end them either.
 TEST_CASE("own port: a response that keeps arriving for longer than the timeout is received")
 {
-    const std::size_t body_bytes = 26 * 4'000;
+    const std::size_t body_bytes = 104'000;
     const paced_server server(make_response(body_bytes, body_bytes), 4'000, 100);
     SoupSession* session = make_http_session(1);
     std::optional<std::size_t> received;
--- a/src/testing/slow_links_test.cpp
+++ b/src/testing/slow_links_test.cpp
@@ -126,6 +126,73 @@
     }
 }
 
+// With its history lost the list was read again in the same way, so daemons stayed on their old
+// list for good.
+TEST_CASE("slow links: changes are in force after the store has compacted its history")
+{
+    for (const std::size_t bytes : {std::size_t{300'000}, std::size_t{1'035'000}, max_value_bytes})
+    {
+        for (const int daemons : {4, 9})
+        {
+            CAPTURE(bytes);
+            CAPTURE(daemons);
+            slow_fleet fleet(daemons, 3, slowest_link_bytes_per_ms);
+            fleet.write_configuration(bytes);
+            fleet.run(10'000);
+            fleet.write_configuration(bytes);
+            fleet.store.remove("servers/i-7");
+            fleet.store.compact_history();
+            fleet.run(6'000);
+            CHECK(fleet.all_match_store());
+            fleet.write_configuration(bytes);
+            CHECK(fleet.time_to_match(max_apply_ms) < max_apply_ms);
+        }
+    }
+}
+
+// The response to a watch holds each of these versions in full: it took longer than its timeout,
+// and grew with each attempt.
+TEST_CASE("slow links: large versions in quick succession are in force in time after the last")
+{
+    for (const int versions : {2, 3, 4, 12, 30})
+    {
+        for (const int daemons : {4, 6, 15})
+        {
+            CAPTURE(versions);
+            CAPTURE(daemons);
+            slow_fleet fleet(daemons, 3, slowest_link_bytes_per_ms);
+            fleet.write_configuration(1'035'000);
+            fleet.run(10'000);
+            for (int i = 0; i < versions; ++i)
+            {
+                fleet.write_configuration(1'040'000);
+                fleet.run(330);
+            }
+            CHECK(fleet.time_to_match(max_apply_ms) < max_apply_ms);
+        }
+    }
+}
+
+// A read must not be undone by a list from another daemon whose position is behind the changes that
+// made the watch's response too large.
+TEST_CASE("slow links: a watch whose response is larger than the list is replaced by a read")
+{
+    slow_fleet fleet(1, 1, slowest_link_bytes_per_ms);
+    fleet.write_configuration(1'035'000);
+    fleet.run(5'000);
+    REQUIRE(fleet.all_match_store());
+    replica_fleet::member& daemon = fleet.members[0];
+    daemon.reaches_store = false;
+    fleet.run(3'000);
+    for (int i = 0; i < 20; ++i)
+    {
+        fleet.write_configuration(1'040'000);
+    }
+    daemon.reaches_store = true;
+    CHECK(fleet.time_to_match(max_apply_ms) < max_apply_ms);
+    CHECK(daemon.too_large == 1);
+}
+
 TEST_CASE("slow links: a store that falls silent in the middle of a response is given up")
 {
     slow_fleet fleet(1, 1, slowest_link_bytes_per_ms);
--- a/src/testing/split_change_test.cpp
+++ b/src/testing/split_change_test.cpp
@@ -191,7 +191,7 @@
     {
         for (const std::int64_t gap_ms : {2'300, 3'000})
         {
-            for (const int rounds : {1, 2})
+            for (const std::int64_t rounds : {1, 2})
             {
                 for (const bool moves_all_flows : {false, true})
                 {
@@ -201,7 +201,7 @@
                     CAPTURE(moves_all_flows);
                     idle_flow_options options = make_split_options(3);
                     options.moves_all_flows = moves_all_flows;
-                    for (std::int64_t i = 0; i < 5 * rounds; ++i)
+                    for (std::int64_t i = 0; i < rounds * 5; ++i)
                     {
                         const std::int64_t at = first_restart_ms + i * gap_ms;
                         options.restarts.push_back(
--- a/src/testing/store_follower_test.cpp
+++ b/src/testing/store_follower_test.cpp
@@ -301,6 +301,32 @@
     CHECK(watch.after_revision == 3);
 }
 
+// Daemons asked for the same changes again and again, since the response was too large each time.
+TEST_CASE("a watch whose response is too large leads to a read, which no earlier position replaces")
+{
+    follower_driver driver;
+    driver.read();
+    CHECK(driver.call().kind == store_call_kind::watch);
+    driver.handle(failed(store_outcome::too_large));
+    skip_read(driver.follower, {0, 7});
+    const store_call read = driver.call();
+    CHECK(read.kind == store_call_kind::read);
+    CHECK(driver.handle(response_with(40, {item("a", 39)})).is_complete);
+    CHECK(driver.call().after_revision == 40);
+}
+
+TEST_CASE("a watch may return as much as the list has, and one item of the largest size")
+{
+    follower_driver driver;
+    driver.read();
+    const std::size_t one_item = driver.call().limits.max_bytes;
+    CHECK(one_item > driver.follower.limits.max_value_bytes * 4 / 3);
+    CHECK(one_item < driver.follower.limits.max_value_bytes * 2);
+    driver.handle(response_with(7, {}));
+    driver.follower.list_bytes = 14'000'000;
+    CHECK(driver.call().limits.max_bytes == 14'000'000);
+}
+
 // A list was taken for current as of the end of a response that took seconds to arrive.
 TEST_CASE("a list is current as of the begin of the response that completes it")
 {
