A loser's tag and a record of an unusable entry are no proof that a backend server is dead

Callers would see: a flow whose first packet had an unknown tag at a daemon, and whose next one the tag of a backend server that lost, was reset a second later; so was a recorded flow whose backend server's entry can't be used. Cause: the guard against resets in doubt looked at the packet's plain and open tags only. Besides, a response that had begun before a pause of the process counted as of the pause's begin, though it is older. Change: where a flow is open comes with whether its backend server may be alive; a list is as old as the earlier of both times. Conclusion: a reset for a tag needs a list that has nobody, wherever the identity came from.

--- a/src/spread/replica_sync.cpp
+++ b/src/spread/replica_sync.cpp
@@ -486,8 +486,9 @@
     if (received.is_complete)
     {
         const bool is_from_before_pause = sync.called_at < sync.resumed_at;
-        confirm(sync, received.position, is_from_before_pause ? sync.paused_at : received.as_of,
-                updates);
+        const millis as_of =
+            is_from_before_pause ? std::min(sync.paused_at, received.as_of) : received.as_of;
+        confirm(sync, received.position, as_of, updates);
     }
 }
 
--- a/src/tagged/router_locations.cpp
+++ b/src/tagged/router_locations.cpp
@@ -58,6 +58,13 @@
            is_identity_unusable(state.backends, identity);
 }
 
+// True when a plain tag, or that of an open flow, names a backend server that has an entry.
+bool names_listed(const router_state& state, std::uint32_t tag)
+{
+    const std::optional<std::uint32_t> identity = read_open_tag(tag);
+    return is_listed(state, tag & tag_identity_mask) || (identity && is_listed(state, *identity));
+}
+
 // The backend server that the tag of an opening packet with this sequence number names.
 std::optional<backend_index> find_opening_backend(const router_state& state,
                                                   const known_route& known, std::uint32_t tag,
@@ -159,8 +166,6 @@
         claim.backend = find_placed_backend(state, known, *identity);
     }
     claim.form = claim.backend ? tag_form::open : tag_form::plain;
-    claim.may_be_alive = !claim.backend && (is_listed(state, packet.tag & tag_identity_mask) ||
-                                            (identity && is_listed(state, *identity)));
     return claim;
 }
 
@@ -208,14 +213,16 @@
         find_contested_flow(state.contested, key, state.settings.max_flow_age, now);
     if (entry != nullptr && is_entry_of_flow(state, known, *entry, packet, claim))
     {
-        return {find_recorded_backend(state, known, entry->tag), true, std::nullopt};
+        return {find_recorded_backend(state, known, entry->tag), true, std::nullopt,
+                is_listed(state, entry->tag & tag_identity_mask)};
     }
     if (claim.form != tag_form::opening)
     {
-        return {claim.backend, false, std::nullopt};
+        return {claim.backend, false, std::nullopt,
+                !claim.backend && names_listed(state, packet.tag)};
     }
     return claim.opening_sequence ? flow_location{claim.backend, false, lookup_need::confirmation}
-                                  : flow_location{std::nullopt, false, lookup_need::location};
+                                  : flow_location{std::nullopt, false, lookup_need::location, true};
 }
 
 } // namespace briarbarrow
--- a/src/tagged/router_parts.hpp
+++ b/src/tagged/router_parts.hpp
@@ -69,8 +69,6 @@
     // The backend server that it names, if that is known. A plain tag names one of the route's
     // services only.
     std::optional<backend_index> backend;
-    // It names no backend server that packets may follow it to, but one whose entry is there.
-    bool may_be_alive = false;
     // Of the tag of an opening packet, if this packet may begin the caller's stream: the sequence
     // number of the opening packet.
     std::optional<std::uint32_t> opening_sequence;
@@ -100,6 +98,8 @@
     bool is_contested = false;
     // What has to be looked up for a flow that this daemon doesn't remember.
     std::optional<lookup_need> doubt;
+    // Without a backend server: that is no proof that the flow's is dead.
+    bool may_be_alive = false;
 };
 
 flow_location locate_flow(const router_state& state, const known_route& known, const flow_key& key,
--- a/src/tagged/tag_router.cpp
+++ b/src/tagged/tag_router.cpp
@@ -87,11 +87,12 @@
 // Handles a packet whose tag shows no backend server that it may go to. It is dropped until it is
 // certain that the backend server does not exist, and reset from then on.
 packet_decision route_unknown_tag(router_state& state, remembered_flow& flow,
-                                  const tagged_packet& packet, const tag_claim& claim, millis now)
+                                  const tagged_packet& packet, const flow_location& location,
+                                  millis now)
 {
     flow.last_packet = now;
     const bool is_certain =
-        !claim.may_be_alive && has_fresh_lists(state, now) &&
+        !location.may_be_alive && has_fresh_lists(state, now) &&
         now > flow.first_seen + unknown_tag_timeout &&
         state.lists_fresh_since + unknown_tag_timeout + expiry_grace_period < now;
     return is_certain ? decide_reset(packet, verdict_reason::dead_tag)
@@ -326,7 +327,7 @@
         flow->stage = flow_stage::open;
     }
     packet_decision decision = flow->backend == no_backend
-                                   ? route_unknown_tag(state, *flow, packet, claim, now)
+                                   ? route_unknown_tag(state, *flow, packet, location, now)
                                    : route_established(state, *flow, packet, reason, now);
     decision.answer_time = answer_time;
     return decision;
--- a/src/testing/hazards_test.cpp
+++ b/src/testing/hazards_test.cpp
@@ -119,9 +119,11 @@
         }
     }
 
-    void respond(std::vector<store_item> items)
+    // A response that began to arrive at `begun`, and has arrived now.
+    void respond(std::vector<store_item> items, std::optional<millis> begun = std::nullopt)
     {
         store_response response;
+        response.begun = begun;
         response.outcome = store_outcome::answered;
         response.store_revision = 7;
         response.last_key = items.empty() ? "" : items.back().key;
@@ -347,6 +349,21 @@
     }
 }
 
+TEST_CASE("pause: a response that began before a pause is as old as its begin")
+{
+    sync_driver driver;
+    driver.run(100);
+    driver.respond({put("op/config", "routes", 3)});
+    driver.run(100);
+    REQUIRE(driver.call);
+    driver.run(400);
+    const millis begun = driver.now;
+    driver.run(700);
+    driver.now = driver.now + millis{5'000};
+    driver.respond({}, begun);
+    CHECK(replica_age(driver.sync, driver.now) == driver.now - begun);
+}
+
 // A paused daemon finds in its socket opening packets whose callers have given up, or have opened
 // the flow with a later copy through another daemon.
 TEST_CASE("pause: opening packets that waited until the caller's next copy are not placed")
--- a/src/testing/split_change_test.cpp
+++ b/src/testing/split_change_test.cpp
@@ -154,6 +154,41 @@
     CHECK(restarted.route(unusable).verdict == packet_verdict::reset);
 }
 
+TEST_CASE("split changes: the tag of an opening packet proves no backend server dead")
+{
+    // It may be that of a backend server which lost, on a flow whose first packet had an unknown
+    // tag here.
+    split_fixture restarted;
+    restarted.advance(4'000);
+    tagged_packet packet = restarted.open_packet("i-77");
+    CHECK(restarted.route(packet).verdict == packet_verdict::drop);
+    packet.tag = make_opening_tag(tag_of("i-12"), 1'000);
+    for (int i = 0; i < 30; ++i)
+    {
+        restarted.advance(100);
+        CHECK(restarted.route(packet).verdict != packet_verdict::reset);
+    }
+}
+
+// A flow whose recorded backend server has an entry that can't be used was reset.
+TEST_CASE("split changes: a recorded flow is not reset while its backend server may be alive")
+{
+    split_fixture restarted;
+    restarted.advance(4'000);
+    handle_unusable_entry(restarted.router, "i-88", restarted.now);
+    tagged_packet packet = restarted.open_packet("i-12");
+    packet.tag = make_opening_tag(tag_of("i-12"), 1'000);
+    add_contested_flow(restarted.router.contested,
+                       {flow_key_of(packet.tuple), 1'000, tag_of("i-88")}, restarted.now);
+    for (int i = 0; i < 30; ++i)
+    {
+        CHECK(restarted.route(packet).verdict == packet_verdict::drop);
+        restarted.advance(100);
+    }
+    handle_backend_unlisted(restarted.router, "i-88", restarted.now);
+    CHECK(restarted.route(packet).verdict == packet_verdict::reset);
+}
+
 TEST_CASE("split changes: an identity that two services have in common is not followed or reset")
 {
     // Find two names with the same identity.
