A watch may also bring a page of small changes beside one large value

Cause: its largest response had room for one value of the largest size alone, so a large version together with a few small changes was rejected while the list was still small, and the list was read: right, but a second call. Change: room for a page's items is added; comments of the follower and of transfer limits. Conclusion: only the number of calls changes.

--- a/src/follow/store_follower.cpp
+++ b/src/follow/store_follower.cpp
@@ -227,7 +227,8 @@
     call.after_revision = follower.watched_position.revision;
     call.wait = follower.wants_prompt_response ? millis{} : follower.limits.watch_wait;
     call.limits = {call.wait + follower.limits.watch_slack, follower.limits.progress_interval,
-                   std::max(encoded_size(follower.limits.max_value_bytes, 1), follower.list_bytes)};
+                   std::max(encoded_size(follower.limits.max_value_bytes, max_page_items),
+                            follower.list_bytes)};
     follower.wants_prompt_response = false;
     return call;
 }
--- a/src/follow/store_follower.hpp
+++ b/src/follow/store_follower.hpp
@@ -5,12 +5,13 @@
 // An idle watch and one on a dead connection look the same, so a watch asks for a response within
 // `watch_wait` even when nothing changed, and times out `watch_slack` later. A response that has
 // begun is received for as long as it makes progress (transfer_progress.hpp). The response to a
-// watch holds each change since its position, also those that later ones replaced; if it is larger
-// than the list, the list is read instead. When the store has
-// compacted the history that a watch needs, or has come back from an older copy, all items are read
-// again. The items of a read are passed on together at its end, when it is known which items no
-// longer exist. A read that is interrupted continues where it stopped, so that many daemons that
-// start at once on a busy store do not read the same pages again and again.
+// watch holds each change since its position, also those that later ones replaced. If it is larger
+// than the list, the list is read instead.
+//
+// When the store has compacted the history that a watch needs, or has come back from an older copy,
+// all items are read again. The items of a read are passed on together at its end, when it is known
+// which items no longer exist. A read that is interrupted continues where it stopped, so that many
+// daemons that start at once on a busy store do not read the same pages again and again.
 //
 // A daemon that has no list yet can use what a read has brought so far, which is reported as early
 // items. Only a list of several pages takes long: its second page starts at a key of the daemon's
--- a/src/follow/transfer_progress.hpp
+++ b/src/follow/transfer_progress.hpp
@@ -12,14 +12,16 @@
 namespace briarbarrow
 {
 
-// A response that has begun makes progress if each interval brings this much, or its end. A
-// response of n bytes so takes n / min_progress_bytes intervals at most. Unit: bytes.
+// A response that has begun makes progress if each interval brings this much, or its end. So a
+// response of n bytes takes at most n / min_progress_bytes intervals. Unit: bytes.
 constexpr std::size_t min_progress_bytes = 16'384;
 
+// Limits of one request.
 struct transfer_limits
 {
     // Time until the response begins; without a progress interval, until its end.
     millis timeout;
+    // A response that has begun may take longer while each of these intervals brings progress.
     std::optional<millis> progress_interval;
     // Largest body that is accepted. Unit: bytes.
     std::size_t max_bytes = 0;
